--- /dev/null
+++ b/src/Admission/team_account.h
@@ -0,0 +1,81 @@
+/// \file
+/// \brief One team's tokens at one entry.
+
+#pragma once
+
+#include "team_bank.h"
+
+#include <optional>
+
+namespace damaskward {
+
+/// \class team_account
+/// \brief Spends tokens drawn from the team's bank, and says when and how many to draw.
+///
+/// Not thread-safe; the owner guards it. One draw is in flight at a time.
+///
+/// \code
+/// if (!account.trySpend(now)) {
+///     wait();
+///     if (auto draw = account.nextDraw(self, now)) { ... }
+/// }
+/// \endcode
+class team_account
+{
+public:
+    /// Spends one token. \returns false when none is held.
+    bool trySpend(time_point now)
+    {
+        if (m_held == 0 || now >= m_lapsesAt) {
+            return false;
+        }
+        --m_held;
+        ++m_spentSinceDraw;
+        return true;
+    }
+
+    /// Decides on a draw for \a waiting requests.
+    /// \returns nothing while one is in flight or none is needed.
+    std::optional<draw_request> nextDraw(const vm_id &self, int waiting, time_point now)
+    {
+        const bool inFlight = m_giveUpAt > now;
+        if (inFlight || waiting == 0) {
+            return std::nullopt;
+        }
+        // As many more as were spent since the last draw, so that a steady flow seldom waits.
+        const int held = now < m_lapsesAt ? m_held : 0;
+        const int reserve = std::min(m_spentSinceDraw, maxReserve);
+        m_spentSinceDraw = 0;
+        m_sentAt = now;
+        m_giveUpAt = now + tokenLifetime;
+        return draw_request{self, ++m_sequence, waiting + reserve, held};
+    }
+
+    /// Takes the bank's answer; nothing when there was none.
+    void finishDraw(const std::optional<draw_answer> &answer, time_point now)
+    {
+        if (m_giveUpAt <= now) {
+            return; // Given up already; what it brought lapses unspent.
+        }
+        m_giveUpAt = time_point{};
+        if (!answer || answer->granted == 0) {
+            return;
+        }
+        const int held = now < m_lapsesAt ? m_held : 0;
+        m_held = held + answer->granted;
+        // Counted from when the draw was sent, so these lapse here before they do at the bank.
+        m_lapsesAt = m_sentAt + withDriftMargin(microseconds(answer->lifetimeMicros));
+    }
+
+private:
+    static constexpr int maxReserve = 64;
+
+    int m_held = 0;
+    int m_spentSinceDraw = 0;
+    std::uint64_t m_sequence = 0;
+    time_point m_lapsesAt{};
+    time_point m_sentAt{};
+    time_point m_giveUpAt{};
+};
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Core/json.cpp
@@ -0,0 +1,62 @@
+#include "json.h"
+
+#include <memory>
+
+namespace damaskward {
+
+std::string writeJson(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+std::optional<Json::Value> readJsonObject(std::string_view text)
+{
+    Json::CharReaderBuilder builder;
+    builder["collectComments"] = false;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value root;
+    std::string errors;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &root, &errors)
+            && root.isObject()) {
+            return root;
+        }
+    } catch (const Json::Exception &) {
+        // jsoncpp throws on documents nested too deeply; they are as malformed as any other.
+    }
+    return std::nullopt;
+}
+
+std::string jsonText(const Json::Value &object, const char *name)
+{
+    const Json::Value &value = object[name];
+    return value.isString() ? value.asString() : std::string();
+}
+
+std::uint64_t jsonUnsigned(const Json::Value &object, const char *name)
+{
+    const Json::Value &value = object[name];
+    return value.isUInt64() ? value.asUInt64() : 0;
+}
+
+std::int64_t jsonSigned(const Json::Value &object, const char *name)
+{
+    const Json::Value &value = object[name];
+    return value.isInt64() ? value.asInt64() : 0;
+}
+
+double jsonNumber(const Json::Value &object, const char *name)
+{
+    const Json::Value &value = object[name];
+    return value.isNumeric() ? value.asDouble() : 0.0;
+}
+
+bool jsonBool(const Json::Value &object, const char *name)
+{
+    const Json::Value &value = object[name];
+    return value.isBool() && value.asBool();
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Core/log.h
@@ -0,0 +1,71 @@
+/// \file
+/// \brief Logs: short sentences with a fixed prefix for each part. Source: spdlog.
+
+#pragma once
+
+#include <spdlog/fmt/ostr.h>
+#include <spdlog/spdlog.h>
+
+#include <string>
+
+namespace damaskward {
+
+/// Writes one line; in JSON form the text is escaped.
+void writeLogLine(spdlog::level::level_enum level, const std::string &part,
+                  const std::string &text);
+
+/// \class part_log
+/// \brief The log of one part of the program. Thread-safe.
+///
+/// \code
+/// part_log log("session");
+/// log.info("Session {} begins.", term);
+/// \endcode
+class part_log
+{
+public:
+    /// \param part the fixed prefix
+    explicit part_log(std::string part)
+        : m_part(std::move(part))
+    { }
+
+    template <typename... Args>
+    void debug(const char *format, const Args &...args) const
+    {
+        write(spdlog::level::debug, format, args...);
+    }
+    template <typename... Args>
+    void info(const char *format, const Args &...args) const
+    {
+        write(spdlog::level::info, format, args...);
+    }
+    template <typename... Args>
+    void warn(const char *format, const Args &...args) const
+    {
+        write(spdlog::level::warn, format, args...);
+    }
+    template <typename... Args>
+    void error(const char *format, const Args &...args) const
+    {
+        write(spdlog::level::err, format, args...);
+    }
+
+private:
+    template <typename... Args>
+    void write(spdlog::level::level_enum level, const char *format, const Args &...args) const
+    {
+        if (spdlog::should_log(level)) {
+            writeLogLine(level, m_part, fmt::format(fmt::runtime(format), args...));
+        }
+    }
+
+    std::string m_part;
+};
+
+/// Sets up the process's log on standard error.
+/// \param level debug, info, warn or error
+/// \param json one JSON object a line instead of text
+/// \param vm the VM's name, for the JSON lines
+void setUpLog(const std::string &level, bool json, const std::string &vm);
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Daemon/control_loop.cpp
@@ -0,0 +1,380 @@
+#include "control_loop.h"
+
+#include "../Core/json.h"
+#include "../Ownership/message_text.h"
+
+namespace damaskward {
+namespace internal {
+
+constexpr std::size_t ringCapacity = 8192;
+constexpr milliseconds tickPeriod{25};
+constexpr milliseconds statusPeriod{250};
+
+Json::Value sessionJson(const vm_id &vm, const seen_row<session_row> &seen, time_point now)
+{
+    Json::Value value;
+    value["vm"] = vm.str();
+    value["dc"] = seen.row.dataCenter.str();
+    value["term"] = Json::UInt64(seen.row.term);
+    value["rules"] = Json::UInt64(seen.row.rulesVersion);
+    static const char *const names[] = {"live", "lapsed", "ended"};
+    value["state"] = names[static_cast<int>(seen.row.state)];
+    value["unchanged_ms"] = Json::Int64(toMillis(now - seen.firstSeen));
+    return value;
+}
+
+Json::Value gateJson(const routed_target &target, std::size_t shards)
+{
+    Json::Value value;
+    value["target"] = target.id.str();
+    value["dc"] = target.rule.dataCenter.str();
+    value["gate"] = target.gate.str();
+    value["term"] = Json::UInt64(target.gateTerm);
+    value["usable"] = target.usable;
+    value["draining"] = target.rule.draining;
+    value["shards"] = Json::UInt64(shards);
+    return value;
+}
+
+} // namespace internal
+
+/// Carries out one action of the ownership machine.
+struct action_runner
+{
+    control_loop &loop;
+
+    void operator()(const read_table &action) const
+    {
+        const auto done = [&l = loop, id = action.id](const std::optional<table_changes> &changes) {
+            l.post(read_done{id, changes});
+        };
+        if (action.through.empty()) {
+            loop.m_platform.readChanges(action.since, mirroredPrefixes(), done);
+            return;
+        }
+        Json::Value parameters;
+        parameters["since"] = Json::UInt64(action.since);
+        loop.m_peers.call(
+            action.through, "relayChanges", parameters, [done](const Json::Value *result) {
+                const bool answered = result != nullptr && result->isObject();
+                done(answered ? decodeChanges(jsonText(*result, "answer")) : std::nullopt);
+            });
+    }
+
+    void operator()(const commit_table &action) const
+    {
+        const auto done = [&l = loop, id = action.id](const commit_answer &answer) {
+            l.post(commit_done{id, answer});
+        };
+        if (action.through.empty()) {
+            loop.m_platform.commit(action.transaction, done);
+            return;
+        }
+        Json::Value parameters;
+        parameters["transaction"] = encodeTransaction(action.transaction);
+        loop.m_peers.call(
+            action.through, "relayCommit", parameters, [done](const Json::Value *result) {
+                const bool answered = result != nullptr && result->isObject();
+                const auto answer =
+                    answered ? decodeCommitAnswer(jsonText(*result, "answer")) : std::nullopt;
+                done(answer.value_or(commit_answer{}));
+            });
+    }
+
+    void operator()(const send_grant &action) const
+    {
+        const target_id target = action.request.target;
+        loop.m_orders.send(
+            action.address, action.request, [&l = loop, target](const order_outcome &outcome) {
+                l.post(grant_done{target, outcome.answer, outcome.connectionRefused});
+            });
+    }
+
+    void operator()(const ask_hold &action) const
+    {
+        loop.m_peers.call(action.to, "hold", toJson(action.request),
+                          [&l = loop, id = action.id, to = action.to](const Json::Value *result) {
+                              hold_answered event{id, to, std::nullopt};
+                              if (result != nullptr) {
+                                  event.answer = readHoldAnswer(*result);
+                              }
+                              l.post(event);
+                          });
+    }
+
+    void operator()(const ask_vote &action) const
+    {
+        loop.m_peers.call(action.to, "vote", toJson(action.request),
+                          [&l = loop, id = action.id, to = action.to](const Json::Value *result) {
+                              vote_answered event{id, to, std::nullopt};
+                              if (result != nullptr) {
+                                  event.answer = readVoteAnswer(*result);
+                              }
+                              l.post(event);
+                          });
+    }
+
+    void operator()(const answer_hold &action) const
+    {
+        control_loop::answerQuestion(loop.m_holds, action.id, action.answer);
+    }
+
+    void operator()(const answer_vote &action) const
+    {
+        control_loop::answerQuestion(loop.m_votes, action.id, action.answer);
+    }
+};
+
+control_loop::control_loop(const ownership_config &config, platform_client &platform,
+                           peer_directory &peers, target_orders &orders)
+    : m_config(config)
+    , m_platform(platform)
+    , m_peers(peers)
+    , m_orders(orders)
+    , m_ring(internal::ringCapacity)
+    , m_machine(config)
+    , m_routes(std::make_shared<const routing_view>())
+{ }
+
+control_loop::~control_loop()
+{
+    m_running = false;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void control_loop::start()
+{
+    m_running = true;
+    m_thread = std::thread([this] { run(); });
+}
+
+bool control_loop::stop(time_point deadline)
+{
+    m_stopping = true;
+    post(stop_requested{});
+    while (!m_handedOver && mono_clock::now() < deadline) {
+        std::this_thread::sleep_for(internal::tickPeriod);
+    }
+    return m_handedOver;
+}
+
+void control_loop::run()
+{
+    while (m_running) {
+        takeOne();
+        const time_point now = mono_clock::now();
+        publish(now);
+        reportChanges(now);
+        m_handedOver = m_machine.stopped();
+        if (m_onHead && m_machine.mirror().head().version > m_machine.rulesVersion()) {
+            m_onHead(m_machine.mirror().head());
+        }
+    }
+}
+
+void control_loop::takeOne()
+{
+    action_list actions;
+    const std::optional<ownership_event> event = m_ring.popUntil(m_nextTick);
+    const time_point now = mono_clock::now();
+    if (event) {
+        m_machine.handle(*event, now, actions);
+    }
+    if (now >= m_nextTick) {
+        m_nextTick = now + internal::tickPeriod;
+        m_machine.handle(tick{}, now, actions);
+    }
+    carryOut(actions);
+}
+
+void control_loop::carryOut(const action_list &actions)
+{
+    for (const ownership_action &action : actions) {
+        std::visit(action_runner{*this}, action);
+    }
+}
+
+template <typename Answer>
+void control_loop::answerQuestion(questions<Answer> &asked, operation_id id, const Answer &answer)
+{
+    const std::lock_guard lock(asked.mutex);
+    const auto question = asked.open.find(id);
+    if (question != asked.open.end()) {
+        question->second.set_value(answer);
+        asked.open.erase(question);
+    }
+}
+
+template <typename Event, typename Request, typename Answer>
+std::optional<Answer> control_loop::askMachine(questions<Answer> &asked, const Request &request,
+                                               time_point deadline)
+{
+    const operation_id id = ++m_nextQuestion;
+    std::future<Answer> answer;
+    {
+        const std::lock_guard lock(asked.mutex);
+        answer = asked.open[id].get_future();
+    }
+    const bool posted = post(Event{id, request});
+    if (posted && answer.wait_until(deadline) == std::future_status::ready) {
+        return answer.get();
+    }
+    const std::lock_guard lock(asked.mutex);
+    asked.open.erase(id);
+    return std::nullopt;
+}
+
+std::optional<hold_answer> control_loop::ask(const hold_request &request, time_point deadline)
+{
+    return askMachine<hold_asked>(m_holds, request, deadline);
+}
+
+std::optional<vote_answer> control_loop::ask(const vote_request &request, time_point deadline)
+{
+    return askMachine<vote_asked>(m_votes, request, deadline);
+}
+
+bool control_loop::routesChanged() const
+{
+    const table_mirror &mirror = m_machine.mirror();
+    return m_seenSessions != mirror.sessionChanges() || m_seenRoles != mirror.roleChanges()
+        || m_seenShards != mirror.shardChanges() || m_seenRules != m_machine.rulesVersion();
+}
+
+std::vector<gate_info> control_loop::gateInfos(time_point now) const
+{
+    std::vector<gate_info> infos;
+    for (const target_id &target : m_machine.gates().held()) {
+        const target_lease *lease = m_machine.gates().lease(target);
+        const target_rule *rule = m_machine.rules().target(target);
+        const service_rule *service = m_machine.rules().service(target.service);
+        if (rule == nullptr || service == nullptr) {
+            continue;
+        }
+        gate_info info;
+        info.target = target;
+        info.address = rule->address;
+        info.limits = {rule->slots, rule->coldSlots, rule->warmAfter};
+        info.gateTerm = lease->gateTerm();
+        info.boot = lease->boot();
+        info.open = lease->status() == target_status::Up && lease->isCurrent() && !lease->fenced()
+            && m_machine.holds(gateRole(target), now);
+        info.keyed = service->keyed;
+        info.runningForOthers = lease->runningForOthers();
+        info.authority = std::min(m_machine.session().authority(), lease->grantedUntil());
+        for (const granted_shard &granted : lease->wanted()) {
+            info.epochs[granted.shard.number] = granted.epoch;
+        }
+        infos.push_back(std::move(info));
+    }
+    return infos;
+}
+
+std::map<team_id, bank_info> control_loop::bankInfos(time_point now) const
+{
+    std::map<team_id, bank_info> infos;
+    const rule_set &rules = m_machine.rules();
+    const auto dc = rules.dataCenters.find(m_config.dataCenter);
+    const double share = dc == rules.dataCenters.end() ? 0.0 : dc->second.sharePercent / 100.0;
+    for (const auto &[team, rule] : rules.teams) {
+        if (rule.rate <= 0.0) {
+            continue;
+        }
+        bank_info info;
+        info.rate = rule.rate * share;
+        info.burst = rule.burst * share;
+        const std::string row = roleName(m_config.dataCenter, bankRole(team));
+        const seen_row<role_row> *seen = m_machine.mirror().role(row);
+        if (seen != nullptr && m_machine.mirror().isLive(seen->row.vm, seen->row.sessionTerm)) {
+            info.holder = seen->row.vm;
+            info.term = seen->row.term;
+            info.mine = m_machine.holds(bankRole(team), now);
+            info.fromLapsed = m_machine.roles().takenFromLapsed(row, seen->row.term);
+            info.authority = m_machine.session().authority();
+        }
+        infos[team] = info;
+    }
+    return infos;
+}
+
+void control_loop::publish(time_point now)
+{
+    if (routesChanged()) {
+        const table_mirror &mirror = m_machine.mirror();
+        m_seenSessions = mirror.sessionChanges();
+        m_seenRoles = mirror.roleChanges();
+        m_seenShards = mirror.shardChanges();
+        m_seenRules = m_machine.rulesVersion();
+        m_routes = std::make_shared<const routing_view>(m_machine.rules(), m_machine.rulesVersion(),
+                                                        mirror);
+        m_peers.update(mirror);
+    }
+    auto view = std::make_shared<control_view>();
+    view->routes = m_routes;
+    view->gates = gateInfos(now);
+    view->banks = bankInfos(now);
+    view->objectives = m_machine.rules().objectives;
+    view->stopping = m_stopping;
+    m_view.publish(view);
+    if (m_onView) {
+        m_onView(view);
+    }
+    if (now >= m_nextStatus) {
+        m_nextStatus = now + internal::statusPeriod;
+        publishStatus(now);
+    }
+}
+
+void control_loop::publishStatus(time_point now)
+{
+    Json::Value value;
+    value["vm"] = m_config.self.str();
+    value["dc"] = m_config.dataCenter.str();
+    value["term"] = Json::UInt64(m_machine.session().term());
+    value["authority"] = m_machine.session().hasAuthority(now);
+    value["holdover"] = m_machine.session().inHoldover(now);
+    value["platform"] = m_machine.reachesPlatform(now);
+    value["rules"] = Json::UInt64(m_machine.rulesVersion());
+    value["head"] = Json::UInt64(m_machine.mirror().head().version);
+    value["sessions"] = Json::Value(Json::arrayValue);
+    for (const auto &[vm, seen] : m_machine.mirror().sessions()) {
+        value["sessions"].append(internal::sessionJson(vm, seen, now));
+    }
+    value["targets"] = Json::Value(Json::arrayValue);
+    for (const routed_service &service : m_routes->services()) {
+        std::vector<std::size_t> shards(service.targets.size(), 0);
+        for (const routed_shard &shard : service.shards) {
+            if (shard.target != routed_shard::noTarget) {
+                ++shards[shard.target];
+            }
+        }
+        for (std::size_t i = 0; i < service.targets.size(); ++i) {
+            value["targets"].append(internal::gateJson(service.targets[i], shards[i]));
+        }
+    }
+    m_status.publish(std::make_shared<const std::string>(writeJson(value)));
+}
+
+void control_loop::reportChanges(time_point now)
+{
+    const std::uint64_t term = m_machine.session().term();
+    if (term != m_reportedTerm) {
+        if (term == 0) {
+            m_log.warn("Session {} is lost.", m_reportedTerm);
+        } else {
+            m_log.info("Session {} begins.", term);
+        }
+        m_reportedTerm = term;
+    }
+    const bool holdover = m_machine.session().inHoldover(now);
+    if (holdover != m_reportedHoldover) {
+        m_log.warn(holdover ? "Holdover begins: no platform, peers have promised."
+                            : "Holdover ends.");
+        m_reportedHoldover = holdover;
+    }
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Daemon/gate_link.h
@@ -0,0 +1,53 @@
+/// \file
+/// \brief Takes admitted requests to the gates of other VMs.
+
+#pragma once
+
+#include "forwarding.h"
+
+#include <cpprest/http_client.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace damaskward {
+
+/// \class gate_link
+/// \brief Forwards requests to other VMs' control addresses and reads their answers. Thread-safe.
+///
+/// \code
+/// links.forward("127.0.0.2:8081", request, [](const forward_answer &answer) { ... });
+/// \endcode
+class gate_link
+{
+public:
+    explicit gate_link(std::string secret)
+        : m_secret(std::move(secret))
+    { }
+
+    /// \param cancel gives the exchange up
+    void forward(const std::string &address, const std::shared_ptr<const forward_request> &request,
+                 const pplx::cancellation_token &cancel, answer_callback done);
+
+private:
+    struct clients
+    {
+        std::shared_ptr<web::http::client::http_client> reusing;
+        std::shared_ptr<web::http::client::http_client> oneShot;
+    };
+    clients clientsOf(const std::string &address);
+
+    const std::string m_secret;
+    std::mutex m_mutex;
+    std::map<std::string, clients> m_clients;
+};
+
+/// The receiving side: reads a forwarded request from its headers.
+/// \returns nothing when the message does not come from an entry.
+std::shared_ptr<forward_request> readForwarded(const web::http::http_request &message);
+/// The receiving side: the answer as an HTTP response.
+web::http::http_response writeForwardedAnswer(const forward_answer &answer);
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Daemon/intent_keeper.cpp
@@ -0,0 +1,102 @@
+#include "intent_keeper.h"
+
+#include <vector>
+
+namespace damaskward {
+
+void intent_keeper::write(const std::string &name, row_version expected, const std::string &value,
+                          write_callback done)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const std::uint64_t ticket = ++m_nextTicket;
+        m_callbacks[ticket] = std::move(done);
+        m_committer.add({ticket, name, expected, value});
+    }
+    pump();
+}
+
+void intent_keeper::pump()
+{
+    std::optional<table_transaction> transaction;
+    {
+        const std::lock_guard lock(m_mutex);
+        transaction = m_committer.next();
+    }
+    if (!transaction) {
+        return;
+    }
+    m_platform.commit(*transaction, [self = shared_from_this()](const commit_answer &answer) {
+        self->finish(answer);
+    });
+}
+
+void intent_keeper::finish(const commit_answer &answer)
+{
+    struct due
+    {
+        finished_write write;
+        write_callback done;
+    };
+    std::vector<due> calls;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const finished_write &write : m_committer.finish(answer)) {
+            const auto callback = m_callbacks.find(write.ticket);
+            calls.push_back({write, std::move(callback->second)});
+            m_callbacks.erase(callback);
+        }
+    }
+    pump();
+    for (const due &call : calls) {
+        call.done(call.write);
+    }
+}
+
+void intent_keeper::record(const std::string &name, const intent_row &row, record_callback done)
+{
+    write(name, 0, encode(row),
+          [self = shared_from_this(), name, row, done = std::move(done)](const finished_write &w) {
+              if (w.outcome == write_outcome::Applied) {
+                  done({intent_outcome::kind::Recorded, w.version, {}});
+                  return;
+              }
+              self->readBack(name, row, done);
+          });
+}
+
+void intent_keeper::readBack(const std::string &name, const intent_row &row,
+                             const record_callback &done)
+{
+    m_platform.readRows({name}, [row, done](const std::optional<table_changes> &found) {
+        intent_outcome outcome;
+        if (found && !found->rows.empty()) {
+            const table_row &stored = found->rows.front();
+            const std::optional<intent_row> existing = decodeIntent(stored.value);
+            if (existing && existing->token == row.token) {
+                outcome.what = intent_outcome::kind::Recorded;
+                outcome.version = stored.version;
+            } else if (existing) {
+                outcome.what = intent_outcome::kind::Exists;
+                outcome.existing = *existing;
+            }
+        }
+        done(outcome);
+    });
+}
+
+void intent_keeper::complete(const std::string &name, row_version version, const intent_row &row,
+                             std::function<void()> done)
+{
+    write(name, version, encode(row),
+          [done = std::move(done)](const finished_write & /*write*/) { done(); });
+}
+
+void intent_keeper::withdraw(const std::string &name, row_version version,
+                             std::function<void()> done)
+{
+    write(name, version, "",
+          [done = std::move(done)](const finished_write & /*write*/) { done(); });
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Daemon/peer_directory.h
@@ -0,0 +1,60 @@
+/// \file
+/// \brief The links to the other VMs of this data centre.
+
+#pragma once
+
+#include "../Ownership/table_mirror.h"
+#include "../Transport/peer_link.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace damaskward {
+
+/// \class peer_directory
+/// \brief Knows the control addresses of VMs and keeps a link to each VM of the data centre.
+///
+/// Thread-safe.
+///
+/// \code
+/// peers.call(vm, "draw", parameters, done);
+/// \endcode
+class peer_directory
+{
+public:
+    /// \param secret proves to peers that this VM belongs to the system
+    /// \param timeout how long one call may take
+    peer_directory(const vm_id &self, const data_center_id &dc, std::string secret,
+                   milliseconds timeout);
+
+    /// Learns addresses from the sessions.
+    void update(const table_mirror &mirror);
+    /// Calls a method of \a vm; \a done gets null when there is no link or no answer.
+    void call(const vm_id &vm, const std::string &method, const Json::Value &parameters,
+              peer_link::callback done);
+    /// Calls a method of every VM of the data centre and ignores the answers.
+    void tellAll(const std::string &method, const Json::Value &parameters);
+    /// \returns the bytes of all links so far.
+    std::uint64_t bytes() const;
+    /// Ends all links; later calls fail.
+    void close();
+
+private:
+    struct entry
+    {
+        std::string address;
+        std::shared_ptr<peer_link> link;
+    };
+
+    const vm_id m_self;
+    const data_center_id m_dataCenter;
+    const std::string m_secret;
+    const milliseconds m_timeout;
+    mutable std::mutex m_mutex;
+    std::map<vm_id, entry> m_links;
+    bool m_closed = false;
+};
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Daemon/vm_process.cpp
@@ -0,0 +1,286 @@
+#include "vm_process.h"
+
+#include "../Core/json.h"
+#include "../Hashing/secret_hash.h"
+#include "../Ownership/message_text.h"
+#include "../Transport/http_text.h"
+
+#include <future>
+
+namespace damaskward {
+namespace internal {
+
+constexpr milliseconds platformTimeout{400};
+constexpr milliseconds peerTimeout{300};
+constexpr milliseconds orderTimeout{300};
+constexpr milliseconds questionTimeout{200};
+constexpr milliseconds relayTimeout{400};
+constexpr milliseconds timerPeriod{5};
+constexpr int timerRoundsPerGauge = 50;
+/// How long a planned stop may take for handing over and for finishing.
+constexpr milliseconds handoverTime{5000};
+constexpr milliseconds finishTime{20000};
+/// A stopping VM closes when no request has come or been inside for this long.
+constexpr milliseconds quietTime{600};
+
+ownership_config ownershipConfig(const vm_settings &settings, std::uint64_t nonce)
+{
+    return {settings.vm, settings.dataCenter, settings.controlAddress, settings.adminAddress,
+            nonce,       settings.timing};
+}
+
+Json::Value emptyAnswer()
+{
+    return Json::Value(Json::objectValue);
+}
+
+} // namespace internal
+
+vm_process::vm_process(const vm_settings &settings, std::uint64_t nonce)
+    : m_settings(settings)
+    , m_platform(settings.platformUrl, settings.vm.str(), internal::platformTimeout)
+    , m_peers(settings.vm, settings.dataCenter, settings.secret, internal::peerTimeout)
+    , m_orders(internal::orderTimeout)
+    , m_crashes(m_peers)
+    , m_control(internal::ownershipConfig(settings, nonce), m_platform, m_peers, m_orders)
+    , m_gates(std::make_shared<intent_keeper>(m_platform), m_crashes, m_metrics, nonce)
+    , m_teams(settings.vm, m_peers, m_views)
+    , m_links(settings.secret)
+    , m_entry({m_settings, m_views, m_teams, m_gates, m_links, m_crashes, m_metrics})
+    , m_rules(m_platform, m_peers,
+              [this](std::uint64_t version, const std::shared_ptr<const rule_set> &rules) {
+                  m_control.post(rules_adopted{version, rules});
+              })
+    , m_callerServer(settings.callerAddress,
+                     [this](const web::http::http_request &m) { handleCaller(m); })
+    , m_controlServer(settings.controlAddress,
+                      [this](const web::http::http_request &m) { handleControl(m); })
+    , m_adminServer(settings.adminAddress,
+                    [this](const web::http::http_request &m) { handleAdmin(m); })
+{
+    addMethods();
+    m_control.onView([this](const std::shared_ptr<const control_view> &view) {
+        m_views.publish(view);
+        m_gates.sync(*view);
+    });
+    m_control.onHead([this](const head_row &head) { m_rules.want(head); });
+}
+
+vm_process::~vm_process()
+{
+    m_running = false;
+    if (m_timer.joinable()) {
+        m_timer.join();
+    }
+}
+
+void vm_process::addMethods()
+{
+    m_rpc.add("hold", [this](const Json::Value &in) {
+        const time_point deadline = mono_clock::now() + internal::questionTimeout;
+        return toJson(m_control.ask(readHoldRequest(in), deadline).value_or(hold_answer{}));
+    });
+    m_rpc.add("vote", [this](const Json::Value &in) {
+        const time_point deadline = mono_clock::now() + internal::questionTimeout;
+        return toJson(m_control.ask(readVoteRequest(in), deadline).value_or(vote_answer{}));
+    });
+    m_rpc.add("draw", [this](const Json::Value &in) {
+        return toJson(m_teams.draw(team_id(jsonText(in, "team")), readDrawRequest(in)));
+    });
+    m_rpc.add("rules", [this](const Json::Value &in) {
+        m_rules.take(jsonUnsigned(in, "version"), jsonText(in, "text"));
+        return internal::emptyAnswer();
+    });
+    m_rpc.add("crashed", [this](const Json::Value &in) {
+        m_crashes.noteFromPeer(jsonUnsigned(in, "fingerprint"));
+        return internal::emptyAnswer();
+    });
+    m_rpc.add("relayCommit", [this](const Json::Value &in) { return relayCommit(in); });
+    m_rpc.add("relayChanges", [this](const Json::Value &in) { return relayChanges(in); });
+}
+
+Json::Value vm_process::relayCommit(const Json::Value &in)
+{
+    const auto transaction = decodeTransaction(jsonText(in, "transaction"));
+    if (!transaction) {
+        return internal::emptyAnswer();
+    }
+    auto promised = std::make_shared<std::promise<commit_answer>>();
+    std::future<commit_answer> answer = promised->get_future();
+    m_platform.commit(*transaction, [promised](const commit_answer &a) { promised->set_value(a); });
+    Json::Value out(Json::objectValue);
+    const bool ready = answer.wait_for(internal::relayTimeout) == std::future_status::ready;
+    const commit_answer got = ready ? answer.get() : commit_answer{};
+    if (got.outcome != commit_outcome::Unknown) {
+        out["answer"] = encodeCommitAnswer(got);
+    }
+    return out;
+}
+
+Json::Value vm_process::relayChanges(const Json::Value &in)
+{
+    auto promised = std::make_shared<std::promise<std::optional<table_changes>>>();
+    std::future<std::optional<table_changes>> answer = promised->get_future();
+    m_platform.readChanges(
+        jsonUnsigned(in, "since"), mirroredPrefixes(),
+        [promised](const std::optional<table_changes> &changes) { promised->set_value(changes); });
+    Json::Value out(Json::objectValue);
+    if (answer.wait_for(internal::relayTimeout) == std::future_status::ready) {
+        const std::optional<table_changes> changes = answer.get();
+        if (changes) {
+            out["answer"] = encodeChanges(*changes);
+        }
+    }
+    return out;
+}
+
+result<void> vm_process::start()
+{
+    BOOST_LEAF_CHECK(m_controlServer.open());
+    BOOST_LEAF_CHECK(m_adminServer.open());
+    m_running = true;
+    m_control.start();
+    m_timer = std::thread([this] { runTimer(); });
+    BOOST_LEAF_CHECK(m_callerServer.open());
+    m_log.info("Serves callers at {}.", m_settings.callerAddress);
+    return {};
+}
+
+void vm_process::waitUntilQuiet(time_point deadline)
+{
+    // cpprest's listener cuts what is open when it closes, so nothing may be open then.
+    std::uint64_t taken = m_entry.taken();
+    time_point quietAt = mono_clock::now() + internal::quietTime;
+    while (mono_clock::now() < std::min(quietAt, deadline)) {
+        std::this_thread::sleep_for(internal::timerPeriod);
+        const bool busy = m_entry.inside() > 0 || m_gates.inside() > 0 || m_entry.taken() != taken;
+        if (busy) {
+            taken = m_entry.taken();
+            quietAt = mono_clock::now() + internal::quietTime;
+        }
+    }
+}
+
+void vm_process::stop()
+{
+    m_leaving = true; // The balancer learns it from /health; until it does, callers are served.
+    m_log.info("Stops: hands its roles over.");
+    const time_point begin = mono_clock::now();
+    const bool handed = m_control.stop(begin + internal::handoverTime);
+    if (!handed) {
+        m_log.warn("Some roles could not be handed over in time.");
+    }
+    waitUntilQuiet(mono_clock::now() + internal::finishTime);
+    m_entry.stop();
+    m_callerServer.close();
+    m_controlServer.close();
+    m_adminServer.close();
+    m_peers.close();
+    m_log.info("Has stopped.");
+}
+
+void vm_process::handleCaller(const web::http::http_request &message)
+{
+    if (message.relative_uri().path() != "/health") {
+        m_entry.handle(message);
+        return;
+    }
+    const bool leaving = m_leaving;
+    sendReply(message,
+              makeJson(leaving ? 503 : 200,
+                       leaving ? R"({"state":"leaving"})" : R"({"state":"serving"})"));
+}
+
+bool vm_process::isPeer(const web::http::http_request &message) const
+{
+    return equalSecrets(headerText(message.headers(), header::secret), m_settings.secret);
+}
+
+void vm_process::handleControl(const web::http::http_request &message)
+{
+    if (!isPeer(message)) {
+        sendReply(message, makeJson(403, "{}"));
+        return;
+    }
+    const std::string path = message.relative_uri().path();
+    if (path != "/rpc") {
+        handleForward(message);
+        return;
+    }
+    web::http::http_request request = message;
+    request.extract_utf8string(true).then([this, request](const pplx::task<std::string> &body) {
+        try {
+            sendReply(request, makeJson(200, m_rpc.answer(body.get())));
+        } catch (const std::exception &) {
+            sendReply(request, makeJson(400, "{}"));
+        }
+    });
+}
+
+void vm_process::handleForward(const web::http::http_request &message)
+{
+    std::shared_ptr<forward_request> request = readForwarded(message);
+    if (request == nullptr) {
+        sendReply(message, makeRefusal(400, run_state::NotRun, refusal::badHeader));
+        return;
+    }
+    web::http::http_request source = message;
+    source.extract_vector().then(
+        [this, source, request](const pplx::task<std::vector<unsigned char>> &task) {
+            try {
+                request->body = std::make_shared<const std::vector<unsigned char>>(task.get());
+            } catch (const std::exception &) {
+                sendReply(source, makeRefusal(400, run_state::NotRun, refusal::bodySize));
+                return;
+            }
+            m_gates.submit(request, [source](const forward_answer &answer) {
+                sendReply(source, writeForwardedAnswer(answer));
+            });
+        });
+}
+
+void vm_process::handleAdmin(const web::http::http_request &message)
+{
+    if (!isPeer(message)) {
+        sendReply(message, makeJson(403, "{}"));
+        return;
+    }
+    const std::string path = message.relative_uri().path();
+    if (path == "/metrics") {
+        web::http::http_response response(200);
+        response.set_body(m_metrics.prometheus(), "text/plain; version=0.0.4");
+        sendReply(message, response);
+    } else if (path == "/status") {
+        sendReply(message, makeJson(200, m_control.status()));
+    } else if (path == "/burn") {
+        sendReply(message, makeJson(200, m_metrics.burnJson()));
+    } else {
+        sendReply(message, makeJson(404, "{}"));
+    }
+}
+
+void vm_process::updateGauges()
+{
+    m_metrics.gauge("entry_inside", m_entry.inside());
+    m_metrics.gauge("gate_inside", static_cast<double>(m_gates.inside()));
+    m_metrics.gauge("control_peer_bytes", static_cast<double>(m_peers.bytes()));
+    m_metrics.gauge("control_platform_bytes", static_cast<double>(m_platform.bytes()));
+    m_metrics.gauge("control_target_bytes", static_cast<double>(m_orders.bytes()));
+}
+
+void vm_process::runTimer()
+{
+    int round = 0;
+    while (m_running) {
+        std::this_thread::sleep_for(internal::timerPeriod);
+        const time_point now = mono_clock::now();
+        m_teams.expire(now);
+        m_entry.expire(now);
+        m_gates.expire(now);
+        if (++round % internal::timerRoundsPerGauge == 0) {
+            updateGauges();
+        }
+    }
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Daemon/vm_process.h
@@ -0,0 +1,82 @@
+/// \file
+/// \brief One VM's process: all its parts, wired together.
+
+#pragma once
+
+#include "../Settings/vm_settings.h"
+#include "../Transport/http_server.h"
+#include "../Transport/rpc_server.h"
+#include "control_loop.h"
+#include "entry_front.h"
+#include "gate_front.h"
+#include "gate_link.h"
+#include "intent_keeper.h"
+#include "peer_directory.h"
+#include "rules_keeper.h"
+#include "target_orders.h"
+#include "team_front.h"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace damaskward {
+
+/// \class vm_process
+/// \brief Entry, gate and bank of one VM, with its three listeners.
+///
+/// \code
+/// vm_process process(settings, nonce);
+/// result<void> started = process.start();
+/// waitForStop();
+/// process.stop();
+/// \endcode
+class vm_process
+{
+public:
+    /// \param nonce random; tells this start of the process from all others
+    vm_process(const vm_settings &settings, std::uint64_t nonce);
+    ~vm_process();
+
+    /// Opens the listeners and starts all threads.
+    result<void> start();
+    /// Hands the roles over, finishes what is inside, and closes the listeners.
+    void stop();
+
+private:
+    void addMethods();
+    Json::Value relayCommit(const Json::Value &in);
+    Json::Value relayChanges(const Json::Value &in);
+    bool isPeer(const web::http::http_request &message) const;
+    void handleCaller(const web::http::http_request &message);
+    void handleControl(const web::http::http_request &message);
+    void handleForward(const web::http::http_request &message);
+    void handleAdmin(const web::http::http_request &message);
+    void waitUntilQuiet(time_point deadline);
+    void runTimer();
+    void updateGauges();
+
+    const vm_settings m_settings;
+    part_log m_log{"vm"};
+    metrics m_metrics;
+    platform_client m_platform;
+    peer_directory m_peers;
+    target_orders m_orders;
+    crash_ledger m_crashes;
+    snapshot<control_view> m_views;
+    control_loop m_control;
+    gate_front m_gates;
+    team_front m_teams;
+    gate_link m_links;
+    entry_front m_entry;
+    rules_keeper m_rules;
+    rpc_server m_rpc;
+    http_server m_callerServer;
+    http_server m_controlServer;
+    http_server m_adminServer;
+    std::atomic<bool> m_running{false};
+    std::atomic<bool> m_leaving{false};
+    std::thread m_timer;
+};
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Ownership/gate_keeper.cpp
@@ -0,0 +1,318 @@
+#include "gate_keeper.h"
+
+#include <algorithm>
+
+namespace damaskward {
+namespace internal {
+
+constexpr std::size_t maxShardsPerTransaction = 64;
+
+/// Adds a check unless the transaction has it already.
+void addCheckOnce(table_transaction &transaction, const std::string &name, row_version version)
+{
+    const auto same = [&name](const table_check &check) { return check.name == name; };
+    if (std::none_of(transaction.checks.begin(), transaction.checks.end(), same)) {
+        transaction.checks.push_back({name, version});
+    }
+}
+
+} // namespace internal
+
+gate_keeper::gate_keeper(const ownership_config &config, platform_route &route)
+    : m_config(config)
+    , m_route(route)
+{ }
+
+const target_lease *gate_keeper::lease(const target_id &target) const
+{
+    const auto gate = m_gates.find(target);
+    return gate == m_gates.end() ? nullptr : &gate->second.lease;
+}
+
+std::vector<target_id> gate_keeper::held() const
+{
+    std::vector<target_id> targets;
+    for (const auto &[target, gate] : m_gates) {
+        targets.push_back(target);
+    }
+    return targets;
+}
+
+void gate_keeper::syncGate(const gate_context &context, const target_id &target,
+                           const target_rule &rule)
+{
+    const std::string rowName = roleName(m_config.dataCenter, gateRole(target));
+    const seen_row<role_row> *seen = context.mirror.role(rowName);
+    if (seen == nullptr || !context.roles.isMine(seen->row, context.ownTerm)) {
+        m_gates.erase(target);
+        return;
+    }
+    const auto gate = m_gates.find(target);
+    if (gate != m_gates.end() && gate->second.lease.gateTerm() == seen->row.term) {
+        return;
+    }
+    const bool fromLapsed = context.roles.takenFromLapsed(rowName, seen->row.term);
+    const time_point surelyPassedAt =
+        fromLapsed ? context.now : context.now + m_config.timing.grant;
+    m_gates.erase(target);
+    m_gates.emplace(target,
+                    held_gate{rowName,
+                              seen->version,
+                              target_lease(target, rule.address, seen->row.term, surelyPassedAt,
+                                           m_config.timing, context.now),
+                              {}});
+}
+
+void gate_keeper::syncGates(const gate_context &context)
+{
+    for (const auto &[target, rule] : context.rules.targets) {
+        if (rule.dataCenter == m_config.dataCenter) {
+            syncGate(context, target, rule);
+        }
+    }
+    for (auto it = m_gates.begin(); it != m_gates.end();) {
+        const bool known = context.rules.target(it->first) != nullptr;
+        it = known ? std::next(it) : m_gates.erase(it);
+    }
+}
+
+void gate_keeper::indexShards(const table_mirror &mirror)
+{
+    if (m_indexedChanges == mirror.shardChanges()) {
+        return;
+    }
+    m_indexedChanges = mirror.shardChanges();
+    m_shardsOf.clear();
+    for (const auto &[shard, seen] : mirror.shards()) {
+        m_shardsOf[seen.row.target].push_back(shard);
+    }
+}
+
+std::size_t gate_keeper::shardCount(const target_id &target) const
+{
+    const auto shards = m_shardsOf.find(target);
+    return shards == m_shardsOf.end() ? 0 : shards->second.size();
+}
+
+void gate_keeper::forgetSettledMoves(const table_mirror &mirror)
+{
+    for (auto it = m_unresolved.begin(); it != m_unresolved.end();) {
+        const seen_row<shard_row> *seen = mirror.shard(it->first);
+        const bool settled = seen != nullptr && seen->version > it->second;
+        it = settled ? m_unresolved.erase(it) : std::next(it);
+    }
+}
+
+bool gate_keeper::mayMoveTo(const gate_context &context, const target_id &target) const
+{
+    const target_rule *rule = context.rules.target(target);
+    if (rule == nullptr) {
+        return false;
+    }
+    const seen_row<role_row> *gate =
+        context.mirror.role(roleName(rule->dataCenter, gateRole(target)));
+    return gate != nullptr && gate->row.status == target_status::Up;
+}
+
+bool gate_keeper::mustLeaveAll(const gate_context &context, const target_id &target,
+                               const held_gate &gate) const
+{
+    const target_rule *rule = context.rules.target(target);
+    return rule->draining || context.rules.isOut(rule->dataCenter)
+        || gate.lease.status() == target_status::Down;
+}
+
+bool gate_keeper::isWorthMoving(const gate_context &context, const target_id &from,
+                                const target_id &to) const
+{
+    const bool home =
+        context.rules.target(from)->dataCenter != context.rules.target(to)->dataCenter;
+    return home || shardCount(to) < shardCount(from);
+}
+
+void gate_keeper::chooseLeaving(const gate_context &context, const target_id &target,
+                                held_gate &gate)
+{
+    const bool all = mustLeaveAll(context, target, gate);
+    const std::set<shard_id> before = std::move(gate.leaving);
+    gate.leaving.clear();
+    for (const shard_id &shard : m_shardsOf[target]) {
+        if (m_unresolved.count(shard) != 0) {
+            gate.leaving.insert(shard);
+            continue;
+        }
+        const std::optional<target_id> wanted = context.plan.targetOf(shard);
+        if (!wanted || *wanted == target || !mayMoveTo(context, *wanted)) {
+            continue;
+        }
+        // When nothing forces the move, shards go one by one.
+        const bool chosen = all || before.count(shard) != 0
+            || (before.empty() && gate.leaving.empty() && isWorthMoving(context, target, *wanted));
+        if (chosen) {
+            gate.leaving.insert(shard);
+        }
+    }
+}
+
+void gate_keeper::updateWanted(const gate_context &context, const target_id &target,
+                               held_gate &gate)
+{
+    if (context.mirror.revision() < gate.claimedAt) {
+        return; // A former gate may have moved a shard just before the role changed hands.
+    }
+    chooseLeaving(context, target, gate);
+    std::vector<granted_shard> wanted;
+    for (const shard_id &shard : m_shardsOf[target]) {
+        if (gate.leaving.count(shard) == 0) {
+            wanted.push_back({shard, context.mirror.shard(shard)->row.epoch});
+        }
+    }
+    gate.lease.want(std::move(wanted));
+}
+
+void gate_keeper::writeStatus(const gate_context &context, operation_id &nextId,
+                              action_list &actions)
+{
+    if (!m_statusLane.idle() || !m_route.reaches(context.now)) {
+        return;
+    }
+    table_transaction transaction;
+    for (const auto &[target, gate] : m_gates) {
+        const seen_row<role_row> *seen = context.mirror.role(gate.rowName);
+        const target_status status = gate.lease.status();
+        const bool changed = status != target_status::New && status != seen->row.status;
+        if (changed && transaction.puts.size() < internal::maxShardsPerTransaction) {
+            role_row row = seen->row;
+            row.status = status;
+            transaction.replace(gate.rowName, seen->version, encode(row));
+        }
+    }
+    if (transaction.empty()) {
+        return;
+    }
+    m_statusWay = m_route.way(context.now);
+    m_statusLane.start(std::move(transaction), ++nextId, context.now, actions, m_statusWay);
+}
+
+void gate_keeper::addMoves(const gate_context &context, const target_id &target,
+                           const held_gate &gate, table_transaction &transaction)
+{
+    if (!gate.lease.hasReleased(context.now)) {
+        return;
+    }
+    for (const shard_id &shard : gate.leaving) {
+        if (transaction.puts.size() >= internal::maxShardsPerTransaction) {
+            return;
+        }
+        const seen_row<shard_row> *seen = context.mirror.shard(shard);
+        shard_row row = seen->row;
+        row.target = context.plan.targetOf(shard).value_or(target);
+        ++row.epoch;
+        internal::addCheckOnce(transaction, gate.rowName,
+                               context.mirror.role(gate.rowName)->version);
+        transaction.replace(shardName(shard), seen->version, encode(row));
+    }
+}
+
+void gate_keeper::addNewShards(const gate_context &context, table_transaction &transaction) const
+{
+    for (const auto &[service, rule] : context.rules.services) {
+        for (std::uint32_t n = 0; n < rule.shards; ++n) {
+            const shard_id shard{service, n};
+            if (context.mirror.shard(shard) != nullptr) {
+                continue;
+            }
+            const std::optional<target_id> wanted = context.plan.targetOf(shard);
+            const auto gate = wanted ? m_gates.find(*wanted) : m_gates.end();
+            const bool ready =
+                gate != m_gates.end() && gate->second.lease.status() == target_status::Up;
+            if (ready && transaction.puts.size() < internal::maxShardsPerTransaction) {
+                internal::addCheckOnce(transaction, gate->second.rowName,
+                                       context.mirror.role(gate->second.rowName)->version);
+                transaction.replace(shardName(shard), 0, encode(shard_row{*wanted, 1}));
+            }
+        }
+    }
+}
+
+void gate_keeper::moveShards(const gate_context &context, operation_id &nextId,
+                             action_list &actions)
+{
+    if (!m_shardLane.idle() || !m_route.reaches(context.now)) {
+        return;
+    }
+    table_transaction transaction;
+    for (const auto &[target, gate] : m_gates) {
+        const bool current = context.mirror.revision() >= gate.claimedAt;
+        if (current && !context.roles.isHandingOver(gate.rowName)) {
+            addMoves(context, target, gate, transaction);
+        }
+    }
+    addNewShards(context, transaction);
+    if (transaction.empty()) {
+        return;
+    }
+    for (const table_check &check : transaction.checks) {
+        const std::optional<shard_id> shard = shardOfName(check.name);
+        if (shard && check.version != 0) {
+            m_unresolved[*shard] = check.version;
+        }
+    }
+    m_shardWay = m_route.way(context.now);
+    m_shardLane.start(std::move(transaction), ++nextId, context.now, actions, m_shardWay);
+}
+
+void gate_keeper::step(const gate_context &context, operation_id &nextId, action_list &actions)
+{
+    if (m_statusLane.expire(context.now)) {
+        m_route.failed(m_statusWay);
+    }
+    if (m_shardLane.expire(context.now)) {
+        m_route.failed(m_shardWay);
+    }
+    syncGates(context);
+    indexShards(context.mirror);
+    forgetSettledMoves(context.mirror);
+    const bool mayAct = context.now < context.authority;
+    for (auto &[target, gate] : m_gates) {
+        updateWanted(context, target, gate);
+        const bool frozen = !mayAct || context.roles.isHandingOver(gate.rowName);
+        gate.lease.step(frozen ? time_point{} : context.authority, context.now, actions);
+    }
+    if (mayAct) {
+        writeStatus(context, nextId, actions);
+        moveShards(context, nextId, actions);
+    }
+}
+
+bool gate_keeper::handle(const commit_done &event, table_mirror &mirror, time_point now)
+{
+    auto done = m_statusLane.finish(event);
+    vm_id way = m_statusWay;
+    if (!done) {
+        done = m_shardLane.finish(event);
+        way = m_shardWay;
+    }
+    if (!done) {
+        return false;
+    }
+    if (done->answer.outcome == commit_outcome::Unknown) {
+        m_route.failed(way);
+        return true;
+    }
+    m_route.succeeded(way, now);
+    if (done->answer.outcome == commit_outcome::Applied) {
+        mirror.applyOwn(done->transaction, done->answer.revision, now);
+    }
+    return true;
+}
+
+void gate_keeper::handle(const grant_done &event, time_point now)
+{
+    const auto gate = m_gates.find(event.target);
+    if (gate != m_gates.end()) {
+        gate->second.lease.handle(event, now);
+    }
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Ownership/message_text.h
@@ -0,0 +1,30 @@
+/// \file
+/// \brief The JSON forms of the ownership messages.
+
+#pragma once
+
+#include "messages.h"
+
+#include <json/json.h>
+
+#include <optional>
+
+namespace damaskward {
+
+Json::Value toJson(const hold_request &message);
+Json::Value toJson(const hold_answer &message);
+Json::Value toJson(const vote_request &message);
+Json::Value toJson(const vote_answer &message);
+Json::Value toJson(const grant_request &message);
+Json::Value toJson(const grant_answer &message);
+
+/// Reading takes any object; a missing or mistyped member reads as zero or empty, which no
+/// receiver accepts.
+hold_request readHoldRequest(const Json::Value &value);
+hold_answer readHoldAnswer(const Json::Value &value);
+vote_request readVoteRequest(const Json::Value &value);
+vote_answer readVoteAnswer(const Json::Value &value);
+grant_request readGrantRequest(const Json::Value &value);
+grant_answer readGrantAnswer(const Json::Value &value);
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Ownership/ownership.cpp
@@ -0,0 +1,189 @@
+#include "ownership.h"
+
+namespace damaskward {
+namespace internal {
+
+/// How long one reading of the table may take.
+constexpr milliseconds readTimeout{400};
+/// The platform counts as unreachable after this many reading periods without an answer.
+constexpr int patienceInReadings = 3;
+/// How long a stopping VM waits for others to take its roles.
+constexpr milliseconds handoverPatience{3000};
+
+} // namespace internal
+
+ownership::ownership(const ownership_config &config)
+    : m_config(config)
+    , m_route(config.timing.readEvery * internal::patienceInReadings)
+    , m_session(config, m_route)
+    , m_lapses(config, m_route, m_votes)
+    , m_roles(config, m_route)
+    , m_gates(config, m_route)
+    , m_rules(std::make_shared<const rule_set>())
+{ }
+
+void ownership::handle(const ownership_event &event, time_point now, action_list &actions)
+{
+    std::visit([this, now, &actions](const auto &e) { on(e, now, actions); }, event);
+}
+
+void ownership::on(const tick & /*event*/, time_point now, action_list &actions)
+{
+    step(now, actions);
+}
+
+void ownership::on(const read_done &event, time_point now, action_list &actions)
+{
+    if (event.id != m_readId) {
+        return;
+    }
+    m_readId = 0;
+    if (!event.changes) {
+        m_route.failed(m_readWay);
+        return;
+    }
+    const bool wasCut = now >= m_lastReadAt + m_config.timing.session / 2;
+    m_mirror.apply(*event.changes, now);
+    m_route.succeeded(m_readWay, now);
+    m_lastReadAt = now;
+    if (wasCut) {
+        m_mirror.restartObservation(now);
+    }
+    step(now, actions);
+}
+
+void ownership::on(const commit_done &event, time_point now, action_list &actions)
+{
+    const bool known = m_session.handle(event, now) || m_lapses.handle(event, m_mirror, now)
+        || m_roles.handle(event, m_mirror, now) || m_gates.handle(event, m_mirror, now);
+    if (!known) {
+        return;
+    }
+    if (event.answer.outcome == commit_outcome::Conflict) {
+        m_readAt = now; // Somebody else wrote; look at once.
+    }
+    step(now, actions);
+}
+
+void ownership::on(const grant_done &event, time_point now, action_list &actions)
+{
+    m_gates.handle(event, now);
+    step(now, actions);
+}
+
+void ownership::on(const hold_asked &event, time_point now, action_list &actions)
+{
+    hold_answer answer;
+    answer.voterTerm = m_session.term();
+    if (m_route.reachesDirectly(now)) {
+        answer.outcome = hold_outcome::Reachable;
+    } else if (m_session.hasAuthority(now)
+               && m_votes.tryPromise(event.request.from, event.request.version,
+                                     now + m_config.timing.promise)) {
+        answer.outcome = hold_outcome::Promised;
+    }
+    actions.emplace_back(answer_hold{event.id, answer});
+}
+
+void ownership::on(const vote_asked &event, time_point now, action_list &actions)
+{
+    vote_answer answer;
+    answer.voterTerm = m_session.term();
+    const bool self = event.request.suspect == m_config.self;
+    answer.approved = !self && answer.voterTerm != 0
+        && m_votes.tryApprove(event.request.suspect, event.request.version, now);
+    actions.emplace_back(answer_vote{event.id, answer});
+}
+
+void ownership::on(const hold_answered &event, time_point now, action_list &actions)
+{
+    m_session.handle(event, now);
+    step(now, actions);
+}
+
+void ownership::on(const vote_answered &event, time_point now, action_list &actions)
+{
+    m_lapses.handle(event);
+    step(now, actions);
+}
+
+void ownership::on(const rules_adopted &event, time_point now, action_list &actions)
+{
+    if (event.version > m_rulesVersion) {
+        m_rules = event.rules;
+        m_rulesVersion = event.version;
+    }
+    step(now, actions);
+}
+
+void ownership::on(const stop_requested & /*event*/, time_point now, action_list &actions)
+{
+    m_stopping = true;
+    m_endBy = now + internal::handoverPatience;
+    step(now, actions);
+}
+
+void ownership::readTable(time_point now, action_list &actions)
+{
+    if (m_readId != 0 && now >= m_readGiveUpAt) {
+        m_readId = 0;
+        m_route.failed(m_readWay);
+    }
+    if (m_readId != 0 || now < m_readAt) {
+        return;
+    }
+    m_readAt = now + m_config.timing.readEvery;
+    m_readGiveUpAt = now + internal::readTimeout;
+    m_readId = ++m_nextId;
+    m_readWay = m_route.way(now);
+    actions.emplace_back(read_table{m_readId, m_mirror.revision(), m_readWay});
+}
+
+void ownership::refreshPlan()
+{
+    if (m_plannedRoles == m_mirror.roleChanges() && m_plannedRules == m_rulesVersion) {
+        return;
+    }
+    m_plannedRoles = m_mirror.roleChanges();
+    m_plannedRules = m_rulesVersion;
+    m_plan = shard_plan(*m_rules, m_mirror);
+}
+
+bool ownership::mayEnd(time_point now) const
+{
+    return m_session.term() == 0 || m_roles.holdsNothing(m_mirror, m_session.term())
+        || now >= m_endBy;
+}
+
+void ownership::stepRoles(time_point now, action_list &actions)
+{
+    refreshPlan();
+    const std::uint64_t term = m_session.term();
+    if (term != 0 && m_session.hasAuthority(now)) {
+        m_roles.step(m_mirror, *m_rules, term, m_stopping, m_nextId, now, actions);
+    }
+    const gate_context context{m_mirror, *m_rules, m_plan, m_roles, term, m_session.authority(),
+                               now};
+    m_gates.step(context, m_nextId, actions);
+}
+
+void ownership::step(time_point now, action_list &actions)
+{
+    readTable(now, actions);
+    m_session.step(m_mirror, m_rulesVersion, m_nextId, now, actions);
+    m_lapses.step(m_mirror, m_session.term(), m_nextId, now, actions);
+    stepRoles(now, actions);
+    if (m_stopping && mayEnd(now)) {
+        m_session.end();
+    }
+}
+
+bool ownership::holds(std::string_view role, time_point now) const
+{
+    const seen_row<role_row> *seen = m_mirror.role(roleName(m_config.dataCenter, role));
+    return seen != nullptr && m_session.hasAuthority(now)
+        && m_roles.isMine(seen->row, m_session.term())
+        && !m_roles.isHandingOver(roleName(m_config.dataCenter, role));
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Ownership/ownership.h
@@ -0,0 +1,97 @@
+/// \file
+/// \brief The ownership machine of one VM.
+
+#pragma once
+
+#include "events.h"
+#include "gate_keeper.h"
+#include "lapse_keeper.h"
+#include "ownership_config.h"
+#include "platform_route.h"
+#include "role_keeper.h"
+#include "session_keeper.h"
+#include "shard_plan.h"
+#include "table_mirror.h"
+#include "vote_book.h"
+
+#include <memory>
+
+namespace damaskward {
+
+/// \class ownership
+/// \brief Everything one VM does about sessions, roles, grants, moves and holdover; without I/O.
+///
+/// Events and points in time go in, actions come out. One thread owns it.
+///
+/// \code
+/// ownership machine(config);
+/// action_list actions;
+/// machine.handle(tick{}, mono_clock::now(), actions);
+/// \endcode
+/// \sa ownership_event, ownership_action
+class ownership
+{
+public:
+    explicit ownership(const ownership_config &config);
+
+    ownership(const ownership &) = delete;
+    ownership &operator=(const ownership &) = delete;
+
+    /// Takes one event and adds what is to be done to \a actions.
+    void handle(const ownership_event &event, time_point now, action_list &actions);
+
+    const table_mirror &mirror() const { return m_mirror; }
+    const session_keeper &session() const { return m_session; }
+    const gate_keeper &gates() const { return m_gates; }
+    const role_keeper &roles() const { return m_roles; }
+    const rule_set &rules() const { return *m_rules; }
+    std::uint64_t rulesVersion() const { return m_rulesVersion; }
+    /// \returns whether the platform was reached lately.
+    bool reachesPlatform(time_point now) const { return m_route.reaches(now); }
+    /// \returns whether every role is handed over and the session's end is written.
+    bool stopped() const { return m_session.ended(); }
+    /// \returns whether this VM holds the role \a role of its data centre and may exercise it.
+    bool holds(std::string_view role, time_point now) const;
+
+private:
+    void on(const tick &event, time_point now, action_list &actions);
+    void on(const read_done &event, time_point now, action_list &actions);
+    void on(const commit_done &event, time_point now, action_list &actions);
+    void on(const grant_done &event, time_point now, action_list &actions);
+    void on(const hold_asked &event, time_point now, action_list &actions);
+    void on(const vote_asked &event, time_point now, action_list &actions);
+    void on(const hold_answered &event, time_point now, action_list &actions);
+    void on(const vote_answered &event, time_point now, action_list &actions);
+    void on(const rules_adopted &event, time_point now, action_list &actions);
+    void on(const stop_requested &event, time_point now, action_list &actions);
+
+    void step(time_point now, action_list &actions);
+    void readTable(time_point now, action_list &actions);
+    void stepRoles(time_point now, action_list &actions);
+    void refreshPlan();
+    bool mayEnd(time_point now) const;
+
+    ownership_config m_config;
+    platform_route m_route;
+    vote_book m_votes;
+    table_mirror m_mirror;
+    session_keeper m_session;
+    lapse_keeper m_lapses;
+    role_keeper m_roles;
+    gate_keeper m_gates;
+    shard_plan m_plan;
+    std::uint64_t m_plannedRoles = 0;
+    std::uint64_t m_plannedRules = 0;
+    std::shared_ptr<const rule_set> m_rules;
+    std::uint64_t m_rulesVersion = 0;
+    operation_id m_nextId = 0;
+    operation_id m_readId = 0; ///< the reading in flight, or 0
+    vm_id m_readWay;
+    time_point m_readAt{};
+    time_point m_readGiveUpAt{};
+    time_point m_lastReadAt{};
+    time_point m_endBy{};
+    bool m_stopping = false;
+};
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Ownership/shard_plan.cpp
@@ -0,0 +1,103 @@
+#include "shard_plan.h"
+
+#include "../Hashing/rendezvous.h"
+
+namespace damaskward {
+namespace internal {
+
+/// How far above the mean a data centre or a target may be filled.
+constexpr double loadSlack = 1.15;
+
+/// The targets of one service in one data centre that shards may be put on.
+struct usable_targets
+{
+    std::vector<target_id> ids;
+    std::vector<place> places;
+};
+
+usable_targets usableIn(const data_center_id &dc, const service_id &service, const rule_set &rules,
+                        const table_mirror &mirror)
+{
+    usable_targets usable;
+    for (const auto &[target, rule] : rules.targets) {
+        if (target.service != service || rule.dataCenter != dc || rule.draining) {
+            continue;
+        }
+        const seen_row<role_row> *gate = mirror.role(roleName(dc, gateRole(target)));
+        const bool down = gate != nullptr && gate->row.status == target_status::Down;
+        if (!down) {
+            usable.ids.push_back(target);
+            usable.places.emplace_back(target.str(), rule.slots);
+        }
+    }
+    return usable;
+}
+
+/// \returns the data centres that are not out, weighted by the slots of their targets.
+std::vector<place> usableDataCenters(const service_id &service, const rule_set &rules)
+{
+    std::map<data_center_id, double> slots;
+    for (const auto &[target, rule] : rules.targets) {
+        if (target.service == service && !rule.draining && !rules.isOut(rule.dataCenter)) {
+            slots[rule.dataCenter] += rule.slots;
+        }
+    }
+    std::vector<place> places;
+    for (const auto &[dc, weight] : slots) {
+        places.emplace_back(dc.str(), weight);
+    }
+    return places;
+}
+
+} // namespace internal
+
+shard_plan::shard_plan(const rule_set &rules, const table_mirror &mirror)
+{
+    for (const auto &[service, rule] : rules.services) {
+        if (rule.keyed) {
+            planService(service, rule, rules, mirror);
+        }
+    }
+}
+
+void shard_plan::planService(const service_id &service, const service_rule &rule,
+                             const rule_set &rules, const table_mirror &mirror)
+{
+    auto &targets = m_targets[service];
+    targets.resize(rule.shards);
+    const std::vector<place> dataCenters = internal::usableDataCenters(service, rules);
+    std::vector<std::uint64_t> hashes;
+    for (std::uint32_t n = 0; n < rule.shards; ++n) {
+        hashes.push_back(combineHash(keyHash(service.str()), n));
+    }
+    const std::vector<std::size_t> homes =
+        boundedPlacement(hashes, dataCenters, internal::loadSlack);
+    for (std::size_t dc = 0; dc < dataCenters.size(); ++dc) {
+        std::vector<std::uint32_t> shards;
+        std::vector<std::uint64_t> shardHashes;
+        for (std::uint32_t n = 0; n < rule.shards; ++n) {
+            if (homes[n] == dc) {
+                shards.push_back(n);
+                shardHashes.push_back(hashes[n]);
+            }
+        }
+        const internal::usable_targets usable =
+            internal::usableIn(data_center_id(dataCenters[dc].name), service, rules, mirror);
+        const std::vector<std::size_t> chosen =
+            boundedPlacement(shardHashes, usable.places, internal::loadSlack);
+        for (std::size_t i = 0; i < chosen.size(); ++i) {
+            targets[shards[i]] = usable.ids[chosen[i]];
+        }
+    }
+}
+
+std::optional<target_id> shard_plan::targetOf(const shard_id &shard) const
+{
+    const auto service = m_targets.find(shard.service);
+    if (service == m_targets.end() || shard.number >= service->second.size()) {
+        return std::nullopt;
+    }
+    return service->second[shard.number];
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/src/Routing/target_chooser.h
@@ -0,0 +1,70 @@
+/// \file
+/// \brief Chooses among the targets of a service that is not divided by key.
+
+#pragma once
+
+#include "../Core/ids.h"
+#include "../Core/time.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace damaskward {
+
+/// \class target_chooser
+/// \brief Least expected wait, from what this VM has seen itself; load reports come too late.
+///
+/// A target whose own running latency is far above the other targets' median is an outlier and
+/// gets no ordinary requests for a while; then one is tried. At most half of the targets are kept
+/// out. Not thread-safe.
+///
+/// \code
+/// if (auto target = chooser.choose(candidates, nothing, now)) {
+///     chooser.started(*target);
+///     ...
+///     chooser.ended(*target, latency, now);
+/// }
+/// \endcode
+class target_chooser
+{
+public:
+    /// \param useOutliers false to choose by outstanding requests alone, the baseline
+    explicit target_chooser(bool useOutliers = true)
+        : m_useOutliers(useOutliers)
+    { }
+
+    /// \param candidates the targets that may be chosen
+    /// \param except a target already tried, or nothing
+    /// \returns the target with the least expected wait, or nothing without candidates.
+    std::optional<target_id> choose(const std::vector<target_id> &candidates,
+                                    const std::optional<target_id> &except, time_point now);
+    /// A request has been sent to \a target.
+    void started(const target_id &target) { ++m_targets[target].outstanding; }
+    /// It has been answered or given up after \a latency.
+    void ended(const target_id &target, duration latency, time_point now);
+    /// It was refused without having run; says nothing about the target's speed.
+    void refused(const target_id &target);
+
+    /// \returns whether \a target is kept out at the moment.
+    bool isEjected(const target_id &target, time_point now) const;
+    /// \returns after which time an answer is later than nearly all.
+    duration hedgeDelay() const;
+
+private:
+    struct view
+    {
+        int outstanding = 0;
+        duration meanLatency{};
+        time_point ejectedUntil{};
+    };
+
+    duration medianLatency() const;
+    void ejectIfOutlier(view &v, time_point now);
+
+    bool m_useOutliers;
+    std::map<target_id, view> m_targets;
+    std::uint64_t m_turn = 0; ///< breaks ties in turn
+};
+
+} // namespace damaskward
--- /dev/null
+++ b/tools/standin/platform_standin.cpp
@@ -0,0 +1,260 @@
+// A stand-in for the platform: table, object store and lagging list of VMs, told over HTTP to be
+// down, slow, or to lose answers after they have taken effect.
+
+#include "damaskward/Platform"
+#include "damaskward/Transport"
+#include "memory_table.h"
+#include "tools/common/process.h"
+
+#include <gflags/gflags.h>
+
+#include <deque>
+#include <iostream>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+DEFINE_string(address, "127.0.0.1:7000", "IP:PORT to listen on");
+DEFINE_int32(threads, 8, "threads that serve the network");
+DEFINE_uint64(seed, 1, "seed of the lost answers");
+DEFINE_int32(list_lag_ms, 5000, "how far the list of VMs lags behind");
+
+namespace damaskward {
+namespace standin {
+
+using web::http::http_request;
+using web::http::http_response;
+using web::http::methods;
+using web::http::status_codes;
+
+/// What the stand-in was told to do wrong.
+struct misbehaviour
+{
+    bool down = false;
+    std::int64_t slowMillis = 0;
+    double loseAnswers = 0.0; ///< the share of applied commits whose answer is lost
+    std::set<std::string> cut; ///< VMs that get no answer
+};
+
+/// One change of the list of VMs, with the time from which readers see it.
+struct listed_vm
+{
+    time_point visibleAt;
+    std::string vm;
+    std::string state;
+};
+
+/// \class platform
+/// \brief Answers the platform's protocol.
+class platform
+{
+public:
+    explicit platform(std::uint64_t seed)
+        : m_random(seed)
+    { }
+
+    void handle(http_request request)
+    {
+        request.extract_utf8string(true).then([this, request](const pplx::task<std::string> &body) {
+            try {
+                dispatch(request, body.get());
+            } catch (const std::exception &e) {
+                sendReply(request, makeJson(status_codes::BadRequest, e.what()));
+            }
+        });
+    }
+
+private:
+    void dispatch(const http_request &request, const std::string &body)
+    {
+        const std::string path = request.relative_uri().path();
+        if (path == "/admin/behave") {
+            behave(request, body);
+            return;
+        }
+        if (path == "/admin/counts") {
+            sendReply(request, makeJson(status_codes::OK, counts()));
+            return;
+        }
+        std::int64_t slowMillis = 0;
+        {
+            const std::lock_guard lock(m_mutex);
+            const std::string vm = headerText(request.headers(), header::vm);
+            if (m_wrong.down || m_wrong.cut.count(vm) != 0) {
+                sendReply(request, makeJson(status_codes::ServiceUnavailable, "down"));
+                return;
+            }
+            slowMillis = m_wrong.slowMillis;
+        }
+        if (slowMillis > 0) {
+            std::this_thread::sleep_for(milliseconds(slowMillis));
+        }
+        sendReply(request, answer(request, path, body));
+    }
+
+    http_response answer(const http_request &request, const std::string &path,
+                         const std::string &body)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (path == "/table/commit") {
+            return commit(body);
+        }
+        if (path == "/table/changes") {
+            return changes(body);
+        }
+        if (path == "/table/read") {
+            return read(body);
+        }
+        if (path.rfind("/objects/", 0) == 0) {
+            return object(request, path.substr(std::string("/objects/").size()), body);
+        }
+        if (path == "/vms") {
+            return vms(request, body);
+        }
+        return http_response(status_codes::NotFound);
+    }
+
+    http_response commit(const std::string &body)
+    {
+        ++m_commits;
+        const std::optional<table_transaction> transaction = decodeTransaction(body);
+        if (!transaction) {
+            return http_response(status_codes::BadRequest);
+        }
+        const commit_answer answer = m_table.commit(*transaction);
+        const bool lost = std::bernoulli_distribution(m_wrong.loseAnswers)(m_random);
+        if (lost) {
+            return http_response(status_codes::GatewayTimeout);
+        }
+        return makeJson(status_codes::OK, encodeCommitAnswer(answer));
+    }
+
+    http_response changes(const std::string &body)
+    {
+        ++m_reads;
+        const std::optional<Json::Value> value = readJsonObject(body);
+        if (!value) {
+            return http_response(status_codes::BadRequest);
+        }
+        std::vector<std::string> prefixes;
+        for (const Json::Value &prefix : (*value)["prefixes"]) {
+            prefixes.push_back(prefix.asString());
+        }
+        const table_changes found = m_table.changes(jsonUnsigned(*value, "since"), prefixes);
+        return makeJson(status_codes::OK, encodeChanges(found));
+    }
+
+    http_response read(const std::string &body)
+    {
+        ++m_reads;
+        const std::optional<Json::Value> value = readJsonObject(body);
+        if (!value) {
+            return http_response(status_codes::BadRequest);
+        }
+        std::vector<std::string> names;
+        for (const Json::Value &name : (*value)["names"]) {
+            names.push_back(name.asString());
+        }
+        return makeJson(status_codes::OK, encodeChanges(m_table.read(names)));
+    }
+
+    http_response object(const http_request &request, const std::string &name,
+                         const std::string &body)
+    {
+        if (request.method() == methods::PUT) {
+            m_objects[name] = body;
+            return http_response(status_codes::OK);
+        }
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end()) {
+            return http_response(status_codes::NotFound);
+        }
+        http_response response(status_codes::OK);
+        response.set_body(found->second, "application/octet-stream");
+        return response;
+    }
+
+    http_response vms(const http_request &request, const std::string &body)
+    {
+        const time_point now = mono_clock::now();
+        if (request.method() == methods::POST) {
+            const std::optional<Json::Value> value = readJsonObject(body);
+            if (!value) {
+                return http_response(status_codes::BadRequest);
+            }
+            m_listed.push_back({now + milliseconds(FLAGS_list_lag_ms), jsonText(*value, "vm"),
+                                jsonText(*value, "state")});
+            return http_response(status_codes::OK);
+        }
+        Json::Value list(Json::objectValue);
+        for (const listed_vm &entry : m_listed) {
+            if (entry.visibleAt <= now) {
+                list[entry.vm] = entry.state;
+            }
+        }
+        return makeJson(status_codes::OK, writeJson(list));
+    }
+
+    void behave(const http_request &request, const std::string &body)
+    {
+        const std::optional<Json::Value> value = readJsonObject(body);
+        if (!value) {
+            sendReply(request, http_response(status_codes::BadRequest));
+            return;
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            m_wrong.down = jsonBool(*value, "down");
+            m_wrong.slowMillis = jsonSigned(*value, "slow_ms");
+            m_wrong.loseAnswers = jsonNumber(*value, "lose_answers");
+            m_wrong.cut.clear();
+            for (const Json::Value &vm : (*value)["cut"]) {
+                m_wrong.cut.insert(vm.asString());
+            }
+        }
+        sendReply(request, makeJson(status_codes::OK, "{}"));
+    }
+
+    std::string counts()
+    {
+        const std::lock_guard lock(m_mutex);
+        Json::Value value;
+        value["commits"] = Json::UInt64(m_commits);
+        value["reads"] = Json::UInt64(m_reads);
+        value["rows"] = Json::UInt64(m_table.rows().size());
+        return writeJson(value);
+    }
+
+    std::mutex m_mutex;
+    misbehaviour m_wrong;
+    memory_table m_table;
+    std::map<std::string, std::string> m_objects;
+    std::deque<listed_vm> m_listed;
+    std::mt19937_64 m_random;
+    std::uint64_t m_commits = 0;
+    std::uint64_t m_reads = 0;
+};
+
+result<int> serve()
+{
+    platform store(FLAGS_seed);
+    http_server server(FLAGS_address,
+                       [&store](const http_request &request) { store.handle(request); });
+    BOOST_LEAF_CHECK(server.open());
+    std::cout << "platform stand-in listens on " << FLAGS_address << std::endl;
+    waitForStop();
+    return exitOk;
+}
+
+} // namespace standin
+} // namespace damaskward
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("a stand-in for the platform's table and object store");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    damaskward::holdStopSignals();
+    damaskward::setNetworkThreads(FLAGS_threads);
+    return damaskward::runMain("damaskward-platform-standin", damaskward::standin::serve);
+}
--- /dev/null
+++ b/tools/standin/target_standin.cpp
@@ -0,0 +1,312 @@
+// A stand-in for a target: fenced grants, cold start, shedding, deadlines, crashes, and a record
+// of everything it ran and held.
+
+#include "damaskward/Ownership"
+#include "damaskward/Transport"
+#include "run_record.h"
+#include "target_behaviour.h"
+#include "target_state.h"
+#include "tools/common/process.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gflags/gflags.h>
+#include <pplx/threadpool.h>
+
+#include <iostream>
+#include <mutex>
+
+DEFINE_string(address, "127.0.0.1:9000", "IP:PORT to listen on");
+DEFINE_string(name, "service/t1", "SERVICE/NAME, for its answers");
+DEFINE_string(behaviour, "{}", "JSON of the behaviour at its start");
+DEFINE_int32(threads, 4, "threads that serve the network");
+DEFINE_uint64(seed, 1, "seed of the service times");
+
+namespace damaskward {
+namespace standin {
+
+using web::http::http_request;
+using web::http::http_response;
+using web::http::status_codes;
+
+constexpr int crashedExitCode = 9;
+
+std::int64_t wallMicros()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<microseconds>(now).count();
+}
+
+/// What a request says of itself.
+struct run_request
+{
+    std::string key;
+    std::string id;
+    std::string team;
+    std::string idempotencyKey;
+    std::uint64_t gateTerm = 0;
+    std::uint64_t epoch = 0;
+    std::optional<std::uint64_t> shard;
+    time_point deadline;
+};
+
+/// \class target
+/// \brief One target process.
+class target
+{
+public:
+    explicit target(const target_behaviour &behaviour)
+        : m_startedAt(mono_clock::now())
+        , m_state(static_cast<std::uint64_t>(wallMicros()))
+        , m_behaviour(behaviour)
+        , m_random(FLAGS_seed)
+    { }
+
+    void handle(http_request request)
+    {
+        request.extract_utf8string(true).then([this, request](const pplx::task<std::string> &body) {
+            try {
+                dispatch(request, body.get());
+            } catch (const std::exception &e) {
+                sendReply(request, makeJson(status_codes::BadRequest, e.what()));
+            }
+        });
+    }
+
+private:
+    target_time clock() const
+    {
+        const duration up = mono_clock::now() - m_startedAt;
+        return {std::chrono::duration_cast<microseconds>(up).count()};
+    }
+
+    void dispatch(const http_request &request, const std::string &body)
+    {
+        const std::string path = request.relative_uri().path();
+        if (path == "/control/grant") {
+            grant(request, body);
+        } else if (path == "/control/load") {
+            load(request);
+        } else if (path == "/admin/behave") {
+            behave(request, body);
+        } else if (path == "/admin/records") {
+            records(request);
+        } else {
+            run(request);
+        }
+    }
+
+    void grant(const http_request &request, const std::string &body)
+    {
+        const std::optional<Json::Value> value = readJsonObject(body);
+        if (!value) {
+            sendReply(request, http_response(status_codes::BadRequest));
+            return;
+        }
+        const std::lock_guard lock(m_mutex);
+        const std::map<std::uint32_t, held_shard> before = m_state.shards();
+        const grant_answer answer = m_state.take(readGrantRequest(*value), clock());
+        if (answer.accepted) {
+            recordGrants(before);
+        }
+        sendReply(request, makeJson(status_codes::OK, writeJson(toJson(answer))));
+    }
+
+    void recordGrants(const std::map<std::uint32_t, held_shard> &before)
+    {
+        const std::int64_t now = wallMicros();
+        const std::int64_t until = now + (m_state.deadline().micros - clock().micros);
+        for (const auto &[number, held] : m_state.shards()) {
+            m_record.noteGrant(number, held.epoch, now, until);
+        }
+        for (const auto &[number, held] : before) {
+            if (m_state.shards().count(number) == 0) {
+                m_record.noteRelease(number, now);
+            }
+        }
+    }
+
+    void load(const http_request &request)
+    {
+        const std::lock_guard lock(m_mutex);
+        Json::Value value;
+        value["running"] = m_behaviour.lyingLoad ? 0 : m_running;
+        value["slots"] = m_behaviour.slots;
+        sendReply(request, makeJson(status_codes::OK, writeJson(value)));
+    }
+
+    void behave(const http_request &request, const std::string &body)
+    {
+        const std::optional<Json::Value> value = readJsonObject(body);
+        if (value) {
+            const std::lock_guard lock(m_mutex);
+            m_behaviour = readBehaviour(*value, m_behaviour);
+        }
+        sendReply(request, makeJson(status_codes::OK, "{}"));
+    }
+
+    void records(const http_request &request)
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool withRuns = request.relative_uri().query() == "runs";
+        sendReply(request, makeJson(status_codes::OK, writeJson(m_record.toJson(withRuns))));
+    }
+
+    static run_request readRequest(const http_request &request)
+    {
+        const auto &headers = request.headers();
+        run_request run;
+        const std::optional<request_path> path = splitPath(request.relative_uri());
+        run.key = path ? path->key : "";
+        run.id = headerText(headers, header::requestId);
+        run.team = headerText(headers, header::team);
+        run.idempotencyKey = headerText(headers, header::idempotencyKey);
+        run.gateTerm = headerNumber(headers, header::gateTerm).value_or(0);
+        run.epoch = headerNumber(headers, header::epoch).value_or(0);
+        run.shard = headerNumber(headers, header::shard);
+        constexpr std::uint64_t defaultMillis = 10000;
+        const auto millis = headerNumber(headers, header::deadline).value_or(defaultMillis);
+        run.deadline = mono_clock::now() + milliseconds(millis);
+        return run;
+    }
+
+    bool isCold() const
+    {
+        return mono_clock::now() < m_startedAt + milliseconds(m_behaviour.warmAfterMillis);
+    }
+
+    /// \returns empty when the request may start, else the reason of its refusal.
+    std::string admit(const run_request &run)
+    {
+        const bool granted = run.shard ? m_state.admits(static_cast<std::uint32_t>(*run.shard),
+                                                        run.epoch, run.gateTerm, clock())
+                                       : m_state.admitsUnkeyed(run.gateTerm, clock());
+        if (!granted) {
+            return "not-granted";
+        }
+        if (m_behaviour.shed || (!isCold() && m_running >= m_behaviour.slots)) {
+            return "shed";
+        }
+        if (isCold() && m_running >= m_behaviour.coldSlots) {
+            std::cerr << FLAGS_name << ": overfed while cold, falls over" << std::endl;
+            std::_Exit(crashedExitCode);
+        }
+        return "";
+    }
+
+    void run(const http_request &request)
+    {
+        const run_request run = readRequest(request);
+        std::string refusal;
+        duration serviceTime{};
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto &[name, value] : request.headers()) {
+                m_record.addHeader(name, value);
+            }
+            refusal = admit(run);
+            if (refusal.empty()) {
+                start(run);
+                serviceTime = drawServiceTime();
+            } else {
+                m_record.addRefused();
+            }
+        }
+        if (!refusal.empty()) {
+            http_response response =
+                makeRefusal(status_codes::ServiceUnavailable, run_state::NotRun, refusal);
+            response.headers().add(header::requestId, run.id);
+            sendReply(request, response);
+            return;
+        }
+        finishLater(request, run, serviceTime);
+    }
+
+    void start(const run_request &run)
+    {
+        ++m_running;
+        m_record.noteRunning(m_running);
+        m_state.started(static_cast<std::uint32_t>(run.shard.value_or(0)), run.gateTerm);
+        m_record.addRun({wallMicros(), run.key, run.team, run.idempotencyKey, run.epoch});
+        const bool crashes = !m_behaviour.crashKey.empty() && run.key == m_behaviour.crashKey;
+        if (crashes) {
+            std::cerr << FLAGS_name << ": a request for " << run.key << " crashes it" << std::endl;
+            std::_Exit(crashedExitCode);
+        }
+    }
+
+    duration drawServiceTime()
+    {
+        const auto mean = static_cast<double>(m_behaviour.serviceMicros);
+        if (!m_behaviour.exponential || mean <= 0.0) {
+            return microseconds(m_behaviour.serviceMicros);
+        }
+        const double drawn = std::exponential_distribution<double>(1.0 / mean)(m_random);
+        return microseconds(static_cast<std::int64_t>(drawn));
+    }
+
+    void finishLater(const http_request &request, const run_request &run, duration serviceTime)
+    {
+        auto &service = crossplat::threadpool::shared_instance().service();
+        auto timer = std::make_shared<boost::asio::steady_timer>(service, serviceTime);
+        timer->async_wait([this, timer, request, run](const boost::system::error_code & /*error*/) {
+            finish(request, run);
+        });
+    }
+
+    void finish(const http_request &request, const run_request &run)
+    {
+        http_response response(status_codes::OK);
+        {
+            const std::lock_guard lock(m_mutex);
+            --m_running;
+            m_state.ended(static_cast<std::uint32_t>(run.shard.value_or(0)), run.gateTerm);
+            if (m_behaviour.crashAfterRun) {
+                std::_Exit(crashedExitCode);
+            }
+            if (!m_behaviour.noId) {
+                response.headers().add(header::requestId, m_behaviour.wrongId ? "wrong" : run.id);
+            }
+            const std::string filler(static_cast<std::size_t>(m_behaviour.bodyBytes), 'x');
+            response.set_body("{\"served_by\":\"" + FLAGS_name + "\",\"key\":\"" + run.key + "\"}"
+                                  + filler,
+                              "application/json");
+        }
+        sendReply(request, response);
+    }
+
+    const time_point m_startedAt;
+    std::mutex m_mutex;
+    target_state m_state;
+    target_behaviour m_behaviour;
+    run_record m_record;
+    std::mt19937_64 m_random;
+    int m_running = 0;
+};
+
+result<int> serve()
+{
+    const std::optional<Json::Value> value = readJsonObject(FLAGS_behaviour);
+    if (!value) {
+        return fail("read --behaviour", FLAGS_name, "it is not a JSON object");
+    }
+    target self(readBehaviour(*value, target_behaviour{}));
+    http_server server(FLAGS_address,
+                       [&self](const http_request &request) { self.handle(request); });
+    BOOST_LEAF_CHECK(server.open());
+    std::cout << "target stand-in " << FLAGS_name << " listens on " << FLAGS_address << std::endl;
+    waitForStop();
+    std::cout.flush();
+    std::_Exit(exitOk); // Timers may still hold requests; a target owes nobody a clean end.
+}
+
+} // namespace standin
+} // namespace damaskward
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("a stand-in for a target that holds keys exclusively");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    damaskward::holdStopSignals();
+    damaskward::setNetworkThreads(FLAGS_threads);
+    return damaskward::runMain("damaskward-target-standin", damaskward::standin::serve);
+}
