--- a/src/Admission/team_account.h
+++ b/src/Admission/team_account.h
@@ -39,7 +39,7 @@
     std::optional<draw_request> nextDraw(const vm_id &self, int waiting, time_point now)
     {
         const bool inFlight = m_giveUpAt > now;
-        if (inFlight || waiting == 0) {
+        if (inFlight || waiting == 0 || now < m_drawAgainAt) {
             return std::nullopt;
         }
         // As many more as were spent since the last draw, so that a steady flow seldom waits.
@@ -58,6 +58,9 @@
             return; // Given up already; what it brought lapses unspent.
         }
         m_giveUpAt = time_point{};
+        if (answer) {
+            m_drawAgainAt = now + microseconds(answer->retryMicros);
+        }
         if (!answer || answer->granted == 0) {
             return;
         }
@@ -76,6 +79,7 @@
     time_point m_lapsesAt{};
     time_point m_sentAt{};
     time_point m_giveUpAt{};
+    time_point m_drawAgainAt{};
 };
 
 } // namespace damaskward
--- a/src/Admission/team_bank.h
+++ b/src/Admission/team_bank.h
@@ -28,6 +28,7 @@
 {
     int granted = 0;
     std::int64_t lifetimeMicros = 0; ///< how long the tokens held and granted may be spent
+    std::int64_t retryMicros = 0; ///< when fewer were given than wanted: when to ask again
 };
 
 /// \class team_bank
@@ -47,10 +48,12 @@
 public:
     /// \param rate tokens a second
     /// \param burst tokens at the most
-    /// \param opensAt when every token of an earlier bank has surely lapsed; it starts empty then
-    team_bank(double rate, double burst, time_point opensAt)
+    /// \param opensAt when every token of an earlier bank has surely lapsed
+    /// \param level what it starts with: nothing, unless there never was an earlier bank
+    team_bank(double rate, double burst, time_point opensAt, double level = 0.0)
         : m_rate(rate)
         , m_burst(burst)
+        , m_level(level)
         , m_filledAt(opensAt)
     { }
 
@@ -84,6 +87,9 @@
         held.count += answer.granted;
         held.lapsesAt = now + lifetime;
         answer.lifetimeMicros = std::chrono::duration_cast<microseconds>(lifetime).count();
+        if (answer.granted < request.wanted) {
+            answer.retryMicros = microsUntilNextToken();
+        }
         return answer;
     }
 
@@ -95,6 +101,16 @@
         time_point lapsesAt{};
     };
 
+    std::int64_t microsUntilNextToken() const
+    {
+        constexpr double microsPerSecond = 1e6;
+        constexpr std::int64_t leastWait = 5000;
+        const double missing = std::max(0.0, 1.0 - m_level);
+        const auto wait =
+            static_cast<std::int64_t>(missing / std::max(m_rate, 1e-6) * microsPerSecond);
+        return std::max(leastWait, wait);
+    }
+
     void fill(time_point now)
     {
         if (now <= m_filledAt) {
@@ -117,7 +133,7 @@
 
     double m_rate;
     double m_burst;
-    double m_level = 0.0;
+    double m_level;
     time_point m_filledAt;
     std::map<vm_id, batch> m_drawn;
 };
--- a/src/Daemon/gate_front.cpp
+++ b/src/Daemon/gate_front.cpp
@@ -8,7 +8,7 @@
 namespace internal {
 
 /// A recorded answer's body is kept up to this size; a longer one is answered but not kept.
-constexpr std::size_t maxRecordedBody = 64 * 1024;
+constexpr std::size_t maxRecordedBody = 65536;
 
 forward_answer replayed(const intent_row &row, std::uint64_t fingerprint)
 {
@@ -121,7 +121,8 @@
     return {};
 }
 
-void gate_front::submit(std::shared_ptr<const forward_request> request, answer_callback done)
+void gate_front::submit(const std::shared_ptr<const forward_request> &request,
+                        const answer_callback &done)
 {
     const std::shared_ptr<gate> g = find(request->target);
     if (g == nullptr) {
--- a/src/Daemon/gate_front.h
+++ b/src/Daemon/gate_front.h
@@ -40,7 +40,7 @@
     /// Takes over the gates that the control thread says are held.
     void sync(const control_view &view);
     /// Queues a request for its target and answers later, on a network thread.
-    void submit(std::shared_ptr<const forward_request> request, answer_callback done);
+    void submit(const std::shared_ptr<const forward_request> &request, const answer_callback &done);
     /// Refuses what has waited too long and gives up what has run too long.
     void expire(time_point now);
     /// \returns how many requests wait or run.
--- a/src/Daemon/team_front.cpp
+++ b/src/Daemon/team_front.cpp
@@ -8,6 +8,9 @@
 /// How long a request waits for tokens while the team has no bank; a bank's VM may just have been
 /// lost.
 constexpr milliseconds bankPatience{1800};
+/// How long a request waits for a token that its team has not earned yet. Arrivals within the rate
+/// come in clumps; refusing at the first empty moment would refuse teams that keep to their rate.
+constexpr milliseconds limitPatience{50};
 
 } // namespace internal
 
@@ -28,7 +31,7 @@
     return known;
 }
 
-void team_front::admit(const team_id &team, time_point deadline, admit_callback done)
+void team_front::admit(const team_id &team, time_point deadline, const admit_callback &done)
 {
     const std::shared_ptr<const control_view> view = m_views.get();
     if (view->banks.count(team) == 0) {
@@ -42,7 +45,7 @@
         const std::lock_guard lock(a->mutex);
         spent = a->queue.empty() && a->tokens.trySpend(now);
         if (!spent) {
-            a->queue.push_back({std::min(deadline, now + internal::bankPatience), done});
+            a->queue.push_back({now, std::min(deadline, now + internal::bankPatience), done});
         }
     }
     if (spent) {
@@ -93,10 +96,11 @@
             admitted.push_back(std::move(a->queue.front().done));
             a->queue.pop_front();
         }
-        // The bank answered and has no more: the rest is over the team's limit. A bank that is
-        // not open yet says so with a lifetime of zero.
+        // The bank answered and has no more: what has waited long is over the team's limit. A
+        // bank that is not open yet says so with a lifetime of zero.
         const bool spent = answer && answer->lifetimeMicros > 0 && admitted.size() < asked;
-        while (spent && !a->queue.empty()) {
+        while (spent && !a->queue.empty()
+               && now >= a->queue.front().since + internal::limitPatience) {
             refused.push_back(std::move(a->queue.front().done));
             a->queue.pop_front();
         }
@@ -122,8 +126,14 @@
     auto bank = m_banks.find(team);
     if (bank == m_banks.end() || bank->second.term != held.term) {
         const time_point opensAt = held.fromLapsed ? now : now + tokenLifetime;
+        const bool first = held.term == 1;
         m_banks.erase(team);
-        bank = m_banks.emplace(team, open_bank{held.term, {held.rate, held.burst, opensAt}}).first;
+        bank = m_banks
+                   .emplace(team,
+                            open_bank{held.term,
+                                      {held.rate, held.burst, first ? now : opensAt,
+                                       first ? held.burst : 0.0}})
+                   .first;
     }
     bank->second.bank.setLimit(held.rate, held.burst, now);
     return bank->second.bank.draw(request, held.authority, now);
@@ -169,6 +179,7 @@
     value["bank"] = answer.lifetimeMicros > 0;
     value["granted"] = answer.granted;
     value["lifetime"] = Json::Int64(answer.lifetimeMicros);
+    value["retry"] = Json::Int64(answer.retryMicros);
     return value;
 }
 
@@ -181,7 +192,8 @@
 
 draw_answer readDrawAnswer(const Json::Value &value)
 {
-    return {static_cast<int>(jsonSigned(value, "granted")), jsonSigned(value, "lifetime")};
+    return {static_cast<int>(jsonSigned(value, "granted")), jsonSigned(value, "lifetime"),
+            jsonSigned(value, "retry")};
 }
 
 } // namespace damaskward
--- a/src/Daemon/team_front.h
+++ b/src/Daemon/team_front.h
@@ -35,7 +35,7 @@
     team_front(const vm_id &self, peer_directory &peers, const snapshot<control_view> &views);
 
     /// Spends one token of \a team, now or when tokens have been drawn.
-    void admit(const team_id &team, time_point deadline, admit_callback done);
+    void admit(const team_id &team, time_point deadline, const admit_callback &done);
     /// Hands out tokens as the team's bank in this data centre.
     draw_answer draw(const team_id &team, const draw_request &request);
     /// Refuses what has waited too long and draws again for the rest.
@@ -44,6 +44,7 @@
 private:
     struct waiting
     {
+        time_point since;
         time_point until;
         admit_callback done;
     };
--- a/src/Daemon/vm_process.cpp
+++ b/src/Daemon/vm_process.cpp
@@ -224,17 +224,16 @@
         sendReply(message, makeRefusal(400, run_state::NotRun, refusal::badHeader));
         return;
     }
-    web::http::http_request source = message;
-    source.extract_vector().then(
-        [this, source, request](const pplx::task<std::vector<unsigned char>> &task) {
+    message.extract_vector().then(
+        [this, message, request](const pplx::task<std::vector<unsigned char>> &task) {
             try {
                 request->body = std::make_shared<const std::vector<unsigned char>>(task.get());
             } catch (const std::exception &) {
-                sendReply(source, makeRefusal(400, run_state::NotRun, refusal::bodySize));
+                sendReply(message, makeRefusal(400, run_state::NotRun, refusal::bodySize));
                 return;
             }
-            m_gates.submit(request, [source](const forward_answer &answer) {
-                sendReply(source, writeForwardedAnswer(answer));
+            m_gates.submit(request, [message](const forward_answer &answer) {
+                sendReply(message, writeForwardedAnswer(answer));
             });
         });
 }
--- a/src/Metrics/metrics.cpp
+++ b/src/Metrics/metrics.cpp
@@ -7,7 +7,7 @@
 namespace damaskward {
 namespace internal {
 
-constexpr std::int64_t keptMinutes = 3 * 24 * 60;
+constexpr std::int64_t keptMinutes = 4320; // three days
 /// The bounds of the latency buckets that Prometheus reads.
 constexpr std::array<milliseconds, 9> latencyBounds = {
     milliseconds(1),  milliseconds(2),   milliseconds(5),    milliseconds(10),   milliseconds(20),
--- a/src/Ownership/lapse_keeper.cpp
+++ b/src/Ownership/lapse_keeper.cpp
@@ -17,6 +17,12 @@
     , m_votes(votes)
 { }
 
+bool lapse_keeper::outlastsFormer(time_point now) const
+{
+    const duration longest = std::max(m_config.timing.promise, m_config.timing.session);
+    return m_startedAt && now >= *m_startedAt + longest;
+}
+
 bool lapse_keeper::isSuspect(const vm_id &vm, const seen_row<session_row> &seen,
                              std::uint64_t ownTerm, time_point now) const
 {
@@ -40,8 +46,8 @@
             continue;
         }
         if (v.vm == m_config.self) {
-            const bool sameIncarnation = v.term == ownTerm;
-            if (sameIncarnation && m_votes.tryApprove(suspect, seen.version, now)) {
+            const bool counts = v.term == ownTerm || outlastsFormer(now);
+            if (counts && m_votes.tryApprove(suspect, seen.version, now)) {
                 about.approvals.insert(v.vm);
             }
             continue;
@@ -81,6 +87,7 @@
 void lapse_keeper::step(const table_mirror &mirror, std::uint64_t ownTerm, operation_id &nextId,
                         time_point now, action_list &actions)
 {
+    m_startedAt = m_startedAt.value_or(now);
     if (m_lane.expire(now)) {
         m_route.failed(m_way);
     }
@@ -96,7 +103,8 @@
         if (about.version != seen.version) {
             about = suspicion{seen.version, {}, time_point{}};
         }
-        const std::size_t needed = lapseQuorum(seen.row.voters.size());
+        const bool formerSelf = vm == m_config.self && outlastsFormer(now);
+        const std::size_t needed = formerSelf ? 0 : lapseQuorum(seen.row.voters.size());
         if (countApprovals(seen, about, mirror, now) < needed && now >= about.askAt) {
             askVotes(vm, seen, ownTerm, about, nextId, now, actions);
         }
@@ -133,8 +141,8 @@
     m_asked.erase(asked);
     const auto about = m_suspicions.find(vote.suspect);
     const bool counts = event.answer && event.answer->approved
-        && event.answer->voterTerm == vote.asked.term && about != m_suspicions.end()
-        && about->second.version == vote.version;
+        && (event.answer->voterTerm == vote.asked.term || event.answer->coversFormer)
+        && about != m_suspicions.end() && about->second.version == vote.version;
     if (counts) {
         about->second.approvals.insert(vote.asked.vm);
     }
--- a/src/Ownership/lapse_keeper.h
+++ b/src/Ownership/lapse_keeper.h
@@ -21,11 +21,17 @@
 /// A session may be declared lapsed when its row has not changed for the session time on this
 /// VM's clock *and* a quorum of the voters that the row itself names has approved. The transaction
 /// checks the row's version, so a renewal that comes first wins.
+///
+/// A process that was started again declares its own former session lapsed without votes: its
+/// former self is gone, and what that could still do has a deadline that this process waits for.
 class lapse_keeper
 {
 public:
     lapse_keeper(const ownership_config &config, platform_route &route, vote_book &votes);
 
+    /// \returns whether this process has run for longer than any promise or session lasts.
+    bool outlastsFormer(time_point now) const;
+
     /// Asks for votes and writes lapses.
     /// \param ownTerm this VM's session term, 0 when it has none
     void step(const table_mirror &mirror, std::uint64_t ownTerm, operation_id &nextId,
@@ -62,6 +68,7 @@
     vote_book &m_votes;
     table_lane m_lane;
     vm_id m_way;
+    std::optional<time_point> m_startedAt;
     std::map<vm_id, suspicion> m_suspicions;
     std::map<operation_id, asked_vote> m_asked;
 };
--- a/src/Ownership/message_text.cpp
+++ b/src/Ownership/message_text.cpp
@@ -59,6 +59,7 @@
     Json::Value value;
     value["approved"] = message.approved;
     value["term"] = Json::UInt64(message.voterTerm);
+    value["former"] = message.coversFormer;
     return value;
 }
 
@@ -116,7 +117,7 @@
 
 vote_answer readVoteAnswer(const Json::Value &value)
 {
-    return {jsonBool(value, "approved"), jsonUnsigned(value, "term")};
+    return {jsonBool(value, "approved"), jsonUnsigned(value, "term"), jsonBool(value, "former")};
 }
 
 grant_request readGrantRequest(const Json::Value &value)
--- a/src/Ownership/messages.h
+++ b/src/Ownership/messages.h
@@ -46,6 +46,9 @@
 {
     bool approved = false;
     std::uint64_t voterTerm = 0; ///< the incarnation that voted
+    /// This process has run for longer than any promise lasts. Two processes never run under one
+    /// name, so it votes for all earlier incarnations too: what they promised has run out.
+    bool coversFormer = false;
 };
 
 /// A shard as a target is told to hold it.
--- a/src/Ownership/ownership.cpp
+++ b/src/Ownership/ownership.cpp
@@ -89,8 +89,9 @@
 {
     vote_answer answer;
     answer.voterTerm = m_session.term();
+    answer.coversFormer = m_lapses.outlastsFormer(now);
     const bool self = event.request.suspect == m_config.self;
-    answer.approved = !self && answer.voterTerm != 0
+    answer.approved = !self && (answer.voterTerm != 0 || answer.coversFormer)
         && m_votes.tryApprove(event.request.suspect, event.request.version, now);
     actions.emplace_back(answer_vote{event.id, answer});
 }
--- a/src/Ownership/session_keeper.cpp
+++ b/src/Ownership/session_keeper.cpp
@@ -104,7 +104,7 @@
 {
     const seen_row<session_row> *seen = mirror.session(m_config.self);
     const bool formerStillLive = seen != nullptr && seen->row.state == session_state::Live;
-    if (mirror.revision() == 0 || m_ending || formerStillLive) {
+    if (!mirror.wasRead() || m_ending || formerStillLive) {
         return; // A former incarnation has to be declared lapsed first, like any other VM.
     }
     session_row row;
--- a/src/Ownership/shard_plan.cpp
+++ b/src/Ownership/shard_plan.cpp
@@ -43,6 +43,7 @@
         }
     }
     std::vector<place> places;
+    places.reserve(slots.size());
     for (const auto &[dc, weight] : slots) {
         places.emplace_back(dc.str(), weight);
     }
@@ -67,6 +68,7 @@
     targets.resize(rule.shards);
     const std::vector<place> dataCenters = internal::usableDataCenters(service, rules);
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(rule.shards);
     for (std::uint32_t n = 0; n < rule.shards; ++n) {
         hashes.push_back(combineHash(keyHash(service.str()), n));
     }
--- a/src/Ownership/table_mirror.cpp
+++ b/src/Ownership/table_mirror.cpp
@@ -78,6 +78,7 @@
         applyRow(row, now);
     }
     m_revision = std::max(m_revision, changes.revision);
+    m_wasRead = true;
 }
 
 void table_mirror::applyOwn(const table_transaction &transaction, table_revision revision,
--- a/src/Ownership/table_mirror.h
+++ b/src/Ownership/table_mirror.h
@@ -43,6 +43,8 @@
     /// their VMs could not renew either.
     void restartObservation(time_point now);
 
+    /// \returns whether the table has been read at all; an empty table has revision 0.
+    bool wasRead() const { return m_wasRead; }
     /// \returns the revision up to which every change is known.
     table_revision revision() const { return m_revision; }
     /// \returns the version of the rules that the table names; version 0 when it names none.
@@ -70,6 +72,7 @@
     void applyRow(const table_row &row, time_point now);
     void applySession(const table_row &row, time_point now);
 
+    bool m_wasRead = false;
     table_revision m_revision = 0;
     head_row m_head;
     std::uint64_t m_sessionChanges = 0;
--- a/src/Platform/platform_client.cpp
+++ b/src/Platform/platform_client.cpp
@@ -53,7 +53,7 @@
     std::string sendNow(const method &verb, const std::string &path, const std::string &body)
     {
         const http_response response = start(verb, path, body).get();
-        const std::string text = response.extract_utf8string(true).get();
+        std::string text = response.extract_utf8string(true).get();
         if (response.status_code() != status_codes::OK) {
             throw std::runtime_error("status " + std::to_string(response.status_code()));
         }
--- a/src/Transport/http_server.cpp
+++ b/src/Transport/http_server.cpp
@@ -5,14 +5,14 @@
 using web::http::experimental::listener::http_listener;
 using web::http::experimental::listener::http_listener_config;
 
-http_server::http_server(const std::string &address, handler handle)
+http_server::http_server(const std::string &address, const handler &handle)
     : m_address(address)
 {
     http_listener_config config;
     constexpr int backlog = 512;
     config.set_backlog(backlog);
     m_listener = std::make_unique<http_listener>(web::uri("http://" + address), config);
-    m_listener->support(std::move(handle));
+    m_listener->support(handle);
 }
 
 http_server::~http_server()
--- a/src/Transport/http_server.h
+++ b/src/Transport/http_server.h
@@ -28,7 +28,7 @@
     using handler = std::function<void(web::http::http_request)>;
 
     /// \param address IP:PORT
-    http_server(const std::string &address, handler handle);
+    http_server(const std::string &address, const handler &handle);
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- /dev/null
+++ b/test/support/ownership_world.cpp
@@ -0,0 +1,639 @@
+#include "ownership_world.h"
+
+#include <algorithm>
+
+namespace damaskward {
+namespace testing {
+
+constexpr std::chrono::milliseconds tickPeriod{25};
+constexpr std::chrono::milliseconds callTimeout{400};
+constexpr std::chrono::milliseconds peerTimeout{300};
+const std::string platformName = "platform";
+
+/// A clock of its own: it starts anywhere and runs at its own rate.
+struct skewed_clock
+{
+    double rate = 1.0;
+    std::chrono::nanoseconds offset{0};
+
+    std::chrono::nanoseconds read(std::chrono::nanoseconds trueTime) const
+    {
+        const auto ticks = static_cast<double>(trueTime.count()) * rate;
+        return offset + std::chrono::nanoseconds(static_cast<std::int64_t>(ticks));
+    }
+};
+
+/// \returns whether an owner is about to be changed: the moment at which a stop hurts most.
+bool movesShard(const action_list &actions)
+{
+    for (const ownership_action &action : actions) {
+        const auto *commit = std::get_if<commit_table>(&action);
+        if (commit != nullptr && commit->transaction.puts.front().name.rfind("shard/", 0) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+struct ownership_world::vm
+{
+    std::string name;
+    data_center_id dc;
+    skewed_clock clock;
+    std::uint64_t incarnation = 0;
+    bool alive = false;
+    moment pausedUntil{0};
+    std::unique_ptr<ownership> machine;
+
+    time_point now(moment trueTime) const { return time_point(clock.read(trueTime)); }
+    bool paused(moment trueTime) const { return trueTime < pausedUntil; }
+};
+
+struct ownership_world::target
+{
+    target_id id;
+    skewed_clock clock;
+    standin::target_state state{1};
+    bool alive = true;
+    moment pausedUntil{0};
+
+    target_time now(moment trueTime) const
+    {
+        return {std::chrono::duration_cast<microseconds>(clock.read(trueTime)).count()};
+    }
+};
+
+ownership_world::ownership_world(const world_options &options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int i = 0; i < m_options.targets + m_options.farTargets; ++i) {
+        auto t = std::make_unique<target>();
+        t->id = {service_id("s"), "t" + std::to_string(i)};
+        t->clock.rate = 1.0 + std::uniform_real_distribution<>(-0.004, 0.004)(m_random);
+        t->clock.offset = between(0, 1000000);
+        t->state = standin::target_state(1, !m_options.broken.noFencing);
+        m_targets[t->id.str()] = std::move(t);
+    }
+    for (int i = 0; i < m_options.vms; ++i) {
+        addVm("a" + std::to_string(i), "a");
+    }
+    for (int i = 0; i < m_options.farVms; ++i) {
+        addVm("b" + std::to_string(i), "b");
+    }
+    adoptRules(rulesText());
+    for (const auto &[name, v] : m_vms) {
+        startVm(name);
+    }
+}
+
+ownership_world::~ownership_world() = default;
+
+void ownership_world::at(moment when, std::function<void()> act)
+{
+    m_events.push({std::max(when, m_now), ++m_order, std::move(act)});
+}
+
+ownership_world::moment ownership_world::between(std::int64_t leastMicros, std::int64_t mostMicros)
+{
+    return microseconds(
+        std::uniform_int_distribution<std::int64_t>(leastMicros, mostMicros)(m_random));
+}
+
+bool ownership_world::chance(double probability)
+{
+    return std::bernoulli_distribution(probability)(m_random);
+}
+
+ownership_world::moment ownership_world::networkDelay()
+{
+    if (m_faultsOn && chance(m_slowMessages)) {
+        return between(10000, 3000000);
+    }
+    return between(100, 2500);
+}
+
+std::string ownership_world::rulesText() const
+{
+    std::string text = "data-center a share=50 # test\ndata-center b share=50 # test\n"
+                       "service s keyed idempotent shards="
+        + std::to_string(m_options.shards) + " # test\n";
+    int index = 0;
+    for (const auto &[name, t] : m_targets) {
+        const std::string dc = index++ < m_options.targets ? "a" : "b";
+        text += "target " + name + " dc=" + dc + " address=127.0.0.1:9000 # test\n";
+    }
+    for (const std::string &name : m_drained) {
+        text += "drain " + name + " # test\n";
+    }
+    return m_outB ? text + "out b # test\n" : text;
+}
+
+void ownership_world::adoptRules(const std::string &text)
+{
+    const parsed<rule_set> rules = parseRules(text, "test");
+    if (!rules.ok()) {
+        m_report.violation = "test rules: " + toString(rules.mistakes.front());
+        return;
+    }
+    m_rules = std::make_shared<const rule_set>(rules.value);
+    const std::uint64_t version = ++m_rulesVersion;
+    for (const auto &[name, v] : m_vms) {
+        const std::uint64_t incarnation = v->incarnation;
+        after(between(1000, 1000000), [this, name = name, incarnation, version, rules = m_rules] {
+            deliver(name, incarnation, rules_adopted{version, rules});
+        });
+    }
+}
+
+void ownership_world::addVm(const std::string &name, const std::string &dc)
+{
+    auto v = std::make_unique<vm>();
+    v->name = name;
+    v->dc = data_center_id(dc);
+    const double drift = m_options.broken.fastClocks ? 0.3 : 0.004;
+    v->clock.rate = 1.0 + std::uniform_real_distribution<>(-drift, drift)(m_random);
+    v->clock.offset = between(1000000000, 2000000000);
+    m_vms[name] = std::move(v);
+}
+
+void ownership_world::startVm(const std::string &name)
+{
+    vm &v = *m_vms[name];
+    v.alive = true;
+    v.pausedUntil = moment{0};
+    const std::uint64_t incarnation = ++v.incarnation;
+    ownership_config config;
+    config.self = vm_id(name);
+    config.dataCenter = v.dc;
+    config.nonce = m_random();
+    v.machine = std::make_unique<ownership>(config);
+    deliver(name, incarnation, rules_adopted{m_rulesVersion, m_rules});
+    tickVm(name, incarnation);
+}
+
+void ownership_world::tickVm(const std::string &name, std::uint64_t incarnation)
+{
+    const vm &v = *m_vms[name];
+    if (!v.alive || v.incarnation != incarnation) {
+        return;
+    }
+    deliver(name, incarnation, tick{});
+    after(tickPeriod, [this, name, incarnation] { tickVm(name, incarnation); });
+}
+
+void ownership_world::deliver(const std::string &name, std::uint64_t incarnation,
+                              const ownership_event &what)
+{
+    vm &v = *m_vms[name];
+    if (!v.alive || v.incarnation != incarnation) {
+        return;
+    }
+    if (v.paused(m_now)) {
+        // Ticks come again by themselves; everything else waits in the socket's buffer.
+        if (!std::holds_alternative<tick>(what)) {
+            at(v.pausedUntil,
+               [this, name, incarnation, what] { deliver(name, incarnation, what); });
+        }
+        return;
+    }
+    action_list actions;
+    v.machine->handle(what, v.now(m_now), actions);
+    // A process may be stopped between a decision and what it leads to.
+    if (m_faultsOn && !actions.empty() && chance(movesShard(actions) ? 0.05 : 0.0005)) {
+        v.pausedUntil = m_now + between(10000, 4000000);
+        at(v.pausedUntil,
+           [this, name, incarnation, actions] { carryOut(name, incarnation, actions); });
+        return;
+    }
+    carryOut(name, incarnation, actions);
+}
+
+void ownership_world::carryOut(const std::string &name, std::uint64_t incarnation,
+                               const action_list &actions)
+{
+    const vm &v = *m_vms[name];
+    if (!v.alive || v.incarnation != incarnation) {
+        return;
+    }
+    for (const ownership_action &action : actions) {
+        perform(name, incarnation, action);
+    }
+}
+
+void ownership_world::perform(const std::string &from, std::uint64_t incarnation,
+                              const ownership_action &action)
+{
+    if (const auto *read = std::get_if<read_table>(&action)) {
+        performRead(from, incarnation, *read);
+    } else if (const auto *commit = std::get_if<commit_table>(&action)) {
+        performCommit(from, incarnation, *commit);
+    } else if (const auto *grant = std::get_if<send_grant>(&action)) {
+        performGrant(from, incarnation, *grant);
+    } else if (const auto *hold = std::get_if<ask_hold>(&action)) {
+        performHold(from, incarnation, *hold);
+    } else if (const auto *vote = std::get_if<ask_vote>(&action)) {
+        performVote(from, incarnation, *vote);
+    }
+}
+
+bool ownership_world::isCut(const std::string &a, const std::string &b) const
+{
+    return m_cuts.count(std::min(a, b) + "|" + std::max(a, b)) != 0;
+}
+
+bool ownership_world::reachesPlatform(const std::string &from, const vm_id &through) const
+{
+    if (m_platformDown) {
+        return false;
+    }
+    if (through.empty()) {
+        return !isCut(from, platformName);
+    }
+    const auto relay = m_vms.find(through.str());
+    const bool relays =
+        relay != m_vms.end() && relay->second->alive && !relay->second->paused(m_now);
+    return relays && !isCut(from, through.str()) && !isCut(through.str(), platformName);
+}
+
+void ownership_world::performRead(const std::string &from, std::uint64_t incarnation,
+                                  const read_table &action)
+{
+    const bool lost = m_faultsOn && chance(m_lostAnswers);
+    after(networkDelay(), [this, from, incarnation, action, lost] {
+        if (!reachesPlatform(from, action.through) || lost) {
+            after(callTimeout, [this, from, incarnation, id = action.id] {
+                deliver(from, incarnation, read_done{id, std::nullopt});
+            });
+            return;
+        }
+        const table_changes changes = m_table.changes(action.since, {});
+        after(networkDelay(), [this, from, incarnation, id = action.id, changes] {
+            deliver(from, incarnation, read_done{id, changes});
+        });
+    });
+}
+
+void ownership_world::performCommit(const std::string &from, std::uint64_t incarnation,
+                                    const commit_table &action)
+{
+    const bool lost = m_faultsOn && chance(m_lostAnswers);
+    after(networkDelay(), [this, from, incarnation, action, lost] {
+        commit_answer answer;
+        const bool reached = reachesPlatform(from, action.through);
+        if (reached) {
+            table_transaction transaction = action.transaction;
+            if (m_options.broken.noRoleCheck) {
+                auto &checks = transaction.checks;
+                const auto isRole = [](const table_check &c) {
+                    return c.name.rfind("role/", 0) == 0;
+                };
+                const bool moves = transaction.puts.front().name.rfind("shard/", 0) == 0;
+                if (moves) {
+                    checks.erase(std::remove_if(checks.begin(), checks.end(), isRole),
+                                 checks.end());
+                }
+            }
+            answer = m_table.commit(transaction);
+            observe();
+        }
+        if (!reached || lost) {
+            after(callTimeout, [this, from, incarnation, id = action.id] {
+                deliver(from, incarnation, commit_done{id, commit_answer{}});
+            });
+            return;
+        }
+        after(networkDelay(), [this, from, incarnation, action, answer] {
+            noteAcknowledged(action.transaction, answer);
+            deliver(from, incarnation, commit_done{action.id, answer});
+        });
+    });
+}
+
+void ownership_world::performGrant(const std::string &from, std::uint64_t incarnation,
+                                   const send_grant &action)
+{
+    const std::string name = action.request.target.str();
+    const auto fail = [this, from, incarnation, action](moment delay, bool refused) {
+        after(delay, [this, from, incarnation, action, refused] {
+            deliver(from, incarnation, grant_done{action.request.target, std::nullopt, refused});
+        });
+    };
+    const auto arrive = [this, from, incarnation, action, name, fail] {
+        target &t = *m_targets[name];
+        if (isCut(from, name) || m_now < t.pausedUntil) {
+            fail(peerTimeout, false);
+            return;
+        }
+        if (!t.alive) {
+            fail(between(100, 1000), true);
+            return;
+        }
+        grant_request order = action.request;
+        if (m_options.broken.deadlineAtArrival && order.boot != 0) {
+            order.deadline.micros = t.now(m_now).micros + 800000;
+        }
+        const grant_answer answer = t.state.take(order, t.now(m_now));
+        observe();
+        after(networkDelay(), [this, from, incarnation, answer, target = action.request.target] {
+            deliver(from, incarnation, grant_done{target, answer, false});
+        });
+    };
+    after(networkDelay(), arrive);
+    if (m_faultsOn && chance(0.03)) {
+        after(between(1000, 900000), arrive); // A message that comes twice.
+    }
+}
+
+void ownership_world::performHold(const std::string &from, std::uint64_t incarnation,
+                                  const ask_hold &action)
+{
+    after(networkDelay(), [this, from, incarnation, action] {
+        const std::string to = action.to.str();
+        const auto peer = m_vms.find(to);
+        const bool reached = peer != m_vms.end() && peer->second->alive
+            && !peer->second->paused(m_now) && !isCut(from, to);
+        std::optional<hold_answer> answer;
+        if (reached) {
+            action_list actions;
+            vm &v = *peer->second;
+            v.machine->handle(hold_asked{1, action.request}, v.now(m_now), actions);
+            for (const ownership_action &a : actions) {
+                if (const auto *given = std::get_if<answer_hold>(&a)) {
+                    answer = given->answer;
+                }
+            }
+            carryOut(to, v.incarnation, actions);
+        }
+        after(reached ? networkDelay() : peerTimeout, [this, from, incarnation, action, answer] {
+            deliver(from, incarnation, hold_answered{action.id, action.to, answer});
+        });
+    });
+}
+
+void ownership_world::performVote(const std::string &from, std::uint64_t incarnation,
+                                  const ask_vote &action)
+{
+    after(networkDelay(), [this, from, incarnation, action] {
+        const std::string to = action.to.str();
+        const auto peer = m_vms.find(to);
+        const bool reached = peer != m_vms.end() && peer->second->alive
+            && !peer->second->paused(m_now) && !isCut(from, to);
+        std::optional<vote_answer> answer;
+        if (m_options.broken.votesUnasked) {
+            const session_row row =
+                decodeSession(m_table.read({sessionName(action.to)}).rows.at(0).value).value();
+            answer = vote_answer{true, row.term};
+        } else if (reached) {
+            action_list actions;
+            vm &v = *peer->second;
+            v.machine->handle(vote_asked{1, action.request}, v.now(m_now), actions);
+            for (const ownership_action &a : actions) {
+                if (const auto *given = std::get_if<answer_vote>(&a)) {
+                    answer = given->answer;
+                }
+            }
+        }
+        after(answer ? networkDelay() : peerTimeout, [this, from, incarnation, action, answer] {
+            deliver(from, incarnation, vote_answered{action.id, action.to, answer});
+        });
+    });
+}
+
+void ownership_world::scheduleFault()
+{
+    if (!m_faultsOn) {
+        return;
+    }
+    after(between(20000, 1200000), [this] {
+        if (m_faultsOn) {
+            commitFault();
+            scheduleFault();
+        }
+    });
+}
+
+void ownership_world::commitFault()
+{
+    std::vector<std::string> vms;
+    for (const auto &[name, v] : m_vms) {
+        vms.push_back(name);
+    }
+    std::vector<std::string> targets;
+    for (const auto &[name, t] : m_targets) {
+        targets.push_back(name);
+    }
+    const auto pick = [this](const std::vector<std::string> &names) {
+        return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(m_random)];
+    };
+    const std::string v = pick(vms);
+    const std::string t = pick(targets);
+    switch (std::uniform_int_distribution<int>(0, 14)(m_random)) {
+    case 0: // A VM dies and comes back as another incarnation.
+        m_vms[v]->alive = false;
+        after(between(100000, 5000000), [this, v] {
+            if (!m_vms[v]->alive) {
+                startVm(v);
+            }
+        });
+        break;
+    case 1: // A VM stands still, longer than any lease.
+        m_vms[v]->pausedUntil = m_now + between(50000, 6000000);
+        break;
+    case 2: // A target stands still.
+        m_targets[t]->pausedUntil = m_now + between(50000, 4000000);
+        break;
+    case 3: // A target dies and starts again, empty.
+        m_targets[t]->alive = false;
+        after(between(50000, 4000000), [this, t] {
+            target &again = *m_targets[t];
+            if (!again.alive) {
+                again.state =
+                    standin::target_state(again.state.boot() + 1, !m_options.broken.noFencing);
+                again.alive = true;
+            }
+        });
+        break;
+    case 4: // A VM is cut from the platform.
+        m_cuts.insert(std::min(v, platformName) + "|" + std::max(v, platformName));
+        break;
+    case 5: { // Two VMs are cut from each other.
+        const std::string w = pick(vms);
+        m_cuts.insert(std::min(v, w) + "|" + std::max(v, w));
+        break;
+    }
+    case 6: // A VM is cut from a target.
+        m_cuts.insert(std::min(v, t) + "|" + std::max(v, t));
+        break;
+    case 7:
+        m_platformDown = m_options.outages && !m_platformDown;
+        break;
+    case 8:
+        m_lostAnswers = chance(0.5) ? 0.0 : 0.3;
+        m_slowMessages = chance(0.5) ? 0.0 : 0.05;
+        break;
+    case 9: // Two operators race: one drains, the other returns.
+        if (!m_drained.insert(t).second) {
+            m_drained.erase(t);
+        }
+        adoptRules(rulesText());
+        break;
+    case 10:
+        m_outB = !m_outB;
+        adoptRules(rulesText());
+        break;
+    case 11:
+    case 12:
+        splitNetwork();
+        break;
+    default:
+        m_cuts.clear();
+        m_platformDown = false;
+        break;
+    }
+}
+
+void ownership_world::splitNetwork()
+{
+    std::vector<std::string> sides[2];
+    const auto place = [this, &sides](const std::string &name) {
+        sides[chance(0.5) ? 1 : 0].push_back(name);
+    };
+    place(platformName);
+    for (const auto &[name, v] : m_vms) {
+        place(name);
+    }
+    for (const auto &[name, t] : m_targets) {
+        place(name);
+    }
+    for (const std::string &left : sides[0]) {
+        for (const std::string &right : sides[1]) {
+            m_cuts.insert(std::min(left, right) + "|" + std::max(left, right));
+        }
+    }
+}
+
+void ownership_world::heal()
+{
+    m_faultsOn = false;
+    m_cuts.clear();
+    m_platformDown = false;
+    m_lostAnswers = 0.0;
+    m_slowMessages = 0.0;
+    for (const auto &[name, v] : m_vms) {
+        v->pausedUntil = std::min(v->pausedUntil, m_now);
+        if (!v->alive) {
+            startVm(name);
+        }
+    }
+    for (const auto &[name, t] : m_targets) {
+        t->pausedUntil = std::min(t->pausedUntil, m_now);
+        if (!t->alive) {
+            t->state = standin::target_state(t->state.boot() + 1);
+            t->alive = true;
+        }
+    }
+}
+
+void ownership_world::observeGrants()
+{
+    std::map<std::uint32_t, std::string> owners;
+    for (const auto &[name, t] : m_targets) {
+        if (!t->alive || t->state.deadline() <= t->now(m_now)) {
+            continue;
+        }
+        for (const auto &[number, held] : t->state.shards()) {
+            const auto [first, only] = owners.emplace(number, name);
+            if (!only) {
+                m_report.violation = "shard " + std::to_string(number) + " is held by "
+                    + first->second + " and " + name + " at "
+                    + std::to_string(m_now.count() / 1000000) + " ms";
+            }
+        }
+    }
+}
+
+void ownership_world::observeRows()
+{
+    const table_changes changes = m_table.changes(m_observedRevision, {std::string(shardPrefix)});
+    m_observedRevision = changes.revision;
+    for (const table_row &row : changes.rows) {
+        const shard_id shard = shardOfName(row.name).value();
+        const shard_row now = decodeShard(row.value).value();
+        std::uint64_t &highest = m_highestEpoch[shard];
+        const auto known = m_acknowledged.find(shard);
+        const bool forgotten = known != m_acknowledged.end()
+            && (now.epoch < known->second.epoch
+                || (now.epoch == known->second.epoch && now.target != known->second.target));
+        if (now.epoch < highest || forgotten) {
+            m_report.violation = row.name + ": an acknowledged assignment is gone";
+        }
+        m_report.moves += now.epoch > highest && highest != 0 ? 1 : 0;
+        highest = now.epoch;
+    }
+}
+
+void ownership_world::noteAcknowledged(const table_transaction &transaction,
+                                       const commit_answer &answer)
+{
+    if (answer.outcome != commit_outcome::Applied) {
+        return;
+    }
+    for (const table_put &put : transaction.puts) {
+        const std::optional<shard_id> shard = shardOfName(put.name);
+        const std::optional<shard_row> row = shard ? decodeShard(put.value) : std::nullopt;
+        if (row && row->epoch > m_acknowledged[*shard].epoch) {
+            m_acknowledged[*shard] = *row;
+        }
+        const std::optional<session_row> session = decodeSession(put.value);
+        m_report.lapses += session && session->state == session_state::Lapsed ? 1 : 0;
+    }
+}
+
+void ownership_world::observe()
+{
+    ++m_report.steps;
+    observeGrants();
+    observeRows();
+}
+
+bool ownership_world::everythingGranted() const
+{
+    std::set<std::uint32_t> granted;
+    for (const auto &[name, t] : m_targets) {
+        if (t->alive && t->now(m_now) < t->state.deadline()) {
+            for (const auto &[number, held] : t->state.shards()) {
+                granted.insert(number);
+            }
+        }
+    }
+    return granted.size() == static_cast<std::size_t>(m_options.shards);
+}
+
+world_report ownership_world::run()
+{
+    m_faultsOn = false;
+    at(moment(std::chrono::seconds(2)), [this] {
+        m_faultsOn = true;
+        scheduleFault();
+    });
+    const moment healAt = std::chrono::seconds(2) + m_options.faultTime;
+    at(healAt, [this] { heal(); });
+    const moment endAt = healAt + m_options.healTime;
+    while (!m_events.empty() && m_events.top().at < endAt && m_report.violation.empty()) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.act();
+        for (const auto &[name, v] : m_vms) {
+            const bool holds =
+                v->alive && !v->paused(m_now) && v->machine->session().inHoldover(v->now(m_now));
+            m_report.holdovers += holds ? 1 : 0;
+        }
+    }
+    m_report.recovered = everythingGranted();
+    return m_report;
+}
+
+} // namespace testing
+} // namespace damaskward
--- a/tools/common/process.cpp
+++ b/tools/common/process.cpp
@@ -57,11 +57,11 @@
         body,
         [program](const error &e) {
             std::cerr << program << ": " << toString(e) << '\n';
-            return static_cast<int>(exitFailed);
+            return static_cast<int>(ExitFailed);
         },
         [program](const boost::leaf::error_info & /*info*/) {
             std::cerr << program << ": an unknown error\n";
-            return static_cast<int>(exitFailed);
+            return static_cast<int>(ExitFailed);
         });
 }
 
--- a/tools/common/process.h
+++ b/tools/common/process.h
@@ -12,10 +12,10 @@
 
 /// Exit codes of all programs; documented in docs/OPERATORS.md.
 enum exit_code : int {
-    exitOk = 0,
-    exitFailed = 1, ///< the work could not be done
-    exitUsage = 2, ///< bad arguments, settings or rules
-    exitPartly = 3 ///< accepted, but not in force everywhere yet
+    ExitOk = 0,
+    ExitFailed = 1, ///< the work could not be done
+    ExitUsage = 2, ///< bad arguments, settings or rules
+    ExitPartly = 3 ///< accepted, but not in force everywhere yet
 };
 
 /// Sizes cpprest's thread pool; before the first listener or client.
--- a/tools/damaskctl/main.cpp
+++ b/tools/damaskctl/main.cpp
@@ -91,7 +91,7 @@
             }
         }
         std::cerr << usage;
-        return exitUsage;
+        return ExitUsage;
     }
 
 private:
@@ -109,7 +109,7 @@
         switch (outcome.what) {
         case apply_outcome::kind::Accepted:
             std::cout << "accepted: version " << outcome.version << " is in force everywhere\n";
-            return exitOk;
+            return ExitOk;
         case apply_outcome::kind::Partly:
             std::cout << "not yet everywhere: version " << outcome.version
                       << " is in force except at:";
@@ -117,17 +117,17 @@
                 std::cout << ' ' << vm;
             }
             std::cout << '\n';
-            return exitPartly;
+            return ExitPartly;
         case apply_outcome::kind::Overtaken:
             std::cerr << "damaskctl: another operator's version came first; nothing was applied\n";
-            return exitFailed;
+            return ExitFailed;
         case apply_outcome::kind::Refused:
             break;
         }
         for (const diagnostic &mistake : outcome.mistakes) {
             std::cerr << toString(mistake) << '\n';
         }
-        return exitUsage;
+        return ExitUsage;
     }
 
     /// Edits the rules in force: \a add is added, \a remove is removed, either may be empty.
@@ -135,7 +135,7 @@
     {
         if (FLAGS_requester.empty()) {
             std::cerr << "damaskctl: --requester NAME is needed; it goes into the comment\n";
-            return exitUsage;
+            return ExitUsage;
         }
         BOOST_LEAF_AUTO(base, m_applier.current());
         std::string text = remove.empty() ? base.text : withoutRule(base.text, remove);
@@ -156,7 +156,7 @@
     {
         BOOST_LEAF_AUTO(base, m_applier.current());
         std::cout << base.text;
-        return exitOk;
+        return ExitOk;
     }
 
     result<int> limits()
@@ -174,7 +174,7 @@
         if (FLAGS_json) {
             std::cout << writeJson(list) << '\n';
         }
-        return exitOk;
+        return ExitOk;
     }
 
     result<std::string> secret()
@@ -197,7 +197,7 @@
         fleet_client fleet(m_platform, own);
         BOOST_LEAF_AUTO(answers, fleet.ask("/status"));
         std::cout << (FLAGS_json ? statusJson(answers) : statusTable(answers)) << '\n';
-        return exitOk;
+        return ExitOk;
     }
 
     result<int> burn()
@@ -224,7 +224,7 @@
         if (!FLAGS_svg.empty()) {
             std::ofstream(FLAGS_svg) << burnSvg(rows);
         }
-        return exitOk;
+        return ExitOk;
     }
 
     result<int> declareLost()
@@ -235,7 +235,7 @@
                 << " still runs and is only cut off, its targets may go on serving keys that\n"
                    "others take over: two owners of one key. Stop the VM first, then repeat "
                    "with --force.\n";
-            return exitUsage;
+            return ExitUsage;
         }
         const std::string name = sessionName(vm_id(m_words[1]));
         BOOST_LEAF_AUTO(changes, m_platform.readChangesNow(0, {name}));
@@ -252,7 +252,7 @@
                 return fail("declare lost", m_words[1], "its session has just been renewed");
             }
             std::cout << m_words[1] << " is declared lost\n";
-            return exitOk;
+            return ExitOk;
         }
         return fail("declare lost", m_words[1], "it has no live session");
     }
@@ -262,7 +262,7 @@
         std::string key;
         std::getline(std::cin, key);
         std::cout << toHex(hashSecret(key)) << '\n';
-        return exitOk;
+        return ExitOk;
     }
 
     std::vector<std::string> m_words;
--- a/tools/damaskward/main.cpp
+++ b/tools/damaskward/main.cpp
@@ -19,7 +19,7 @@
 {
     if (FLAGS_settings.empty()) {
         std::cerr << "damaskward: --settings FILE is needed\n";
-        return exitUsage;
+        return ExitUsage;
     }
     BOOST_LEAF_AUTO(text, readFile(FLAGS_settings));
     const parsed<vm_settings> settings = parseSettings(text, FLAGS_settings);
@@ -27,11 +27,11 @@
         std::cerr << toString(mistake) << '\n';
     }
     if (!settings.ok()) {
-        return exitUsage;
+        return ExitUsage;
     }
     if (FLAGS_check) {
         std::cout << FLAGS_settings << ": ok\n";
-        return exitOk;
+        return ExitOk;
     }
     setUpLog(settings.value.log.level, settings.value.log.json, settings.value.vm.str());
     setNetworkThreads(settings.value.threads);
@@ -41,7 +41,7 @@
     BOOST_LEAF_CHECK(process.start());
     waitForStop();
     process.stop();
-    std::_Exit(exitOk); // Answers may still come in for threads that have nothing left to do.
+    std::_Exit(ExitOk); // Answers may still come in for threads that have nothing left to do.
 }
 
 } // namespace
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -78,7 +78,7 @@
     BOOST_LEAF_AUTO(plan, readPlan());
     open_loop loop(plan);
     print(loop.run());
-    return exitOk;
+    return ExitOk;
 }
 
 } // namespace
--- a/tools/standin/platform_standin.cpp
+++ b/tools/standin/platform_standin.cpp
@@ -244,7 +244,7 @@
     BOOST_LEAF_CHECK(server.open());
     std::cout << "platform stand-in listens on " << FLAGS_address << std::endl;
     waitForStop();
-    return exitOk;
+    return ExitOk;
 }
 
 } // namespace standin
--- a/tools/standin/target_standin.cpp
+++ b/tools/standin/target_standin.cpp
@@ -296,7 +296,7 @@
     std::cout << "target stand-in " << FLAGS_name << " listens on " << FLAGS_address << std::endl;
     waitForStop();
     std::cout.flush();
-    std::_Exit(exitOk); // Timers may still hold requests; a target owes nobody a clean end.
+    std::_Exit(ExitOk); // Timers may still hold requests; a target owes nobody a clean end.
 }
 
 } // namespace standin
--- a/tools/standin/target_state.h
+++ b/tools/standin/target_state.h
@@ -27,15 +27,17 @@
 {
 public:
     /// \param boot names this start of the target
-    explicit target_state(std::uint64_t boot)
+    /// \param fenced false for a target that does not check who gives it an order
+    explicit target_state(std::uint64_t boot, bool fenced = true)
         : m_boot(boot)
+        , m_fenced(fenced)
     { }
 
     /// Takes an order.
     grant_answer take(const grant_request &order, target_time now)
     {
         const bool addressed = order.boot == m_boot;
-        const bool newer = order.gateTerm > m_gateTerm
+        const bool newer = !m_fenced || order.gateTerm > m_gateTerm
             || (order.gateTerm == m_gateTerm && order.sequence > m_sequence);
         const bool hasSet = order.shards.has_value()
             || (order.gateTerm == m_gateTerm && order.setNumber == m_setNumber);
@@ -136,6 +138,7 @@
     }
 
     std::uint64_t m_boot;
+    bool m_fenced;
     std::uint64_t m_gateTerm = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_setNumber = 0;
