Non-idempotent requests: a client of their own each; proofs at most once

Cause: cpprest's client sends a request again, silently, when a reused connection is closed unanswered. The design's remedy (a 'Connection: close' header) does not stop it: the client then sends both 'Connection:close' and 'Connection: Keep-Alive' and goes on reusing the connection unless the server closes it. Seen in the bytes that a raw socket received. Ruled out: the pool of another client (each client object has its own). Change: each non-idempotent exchange, to a target or to another VM's gate, gets a client object of its own, so its connection has never been used.

--- a/src/Daemon/gate_link.cpp
+++ b/src/Daemon/gate_link.cpp
@@ -1,5 +1,6 @@
 #include "gate_link.h"
 
+#include "../Transport/http_client.h"
 #include "../Transport/http_text.h"
 #include "target_orders.h"
 
@@ -9,8 +10,6 @@
 using web::http::http_exception;
 using web::http::http_request;
 using web::http::http_response;
-using web::http::client::http_client;
-using web::http::client::http_client_config;
 
 constexpr std::chrono::seconds forwardTimeout{120};
 constexpr const char *forwardPrefix = "/forward/";
@@ -39,7 +38,6 @@
     }
     if (!request.idempotent) {
         headers.add(onceHeader, "1");
-        headers.add(web::http::header_names::connection, "close");
     }
     if (request.body != nullptr && !request.body->empty()) {
         message.set_body(*request.body);
@@ -78,16 +76,17 @@
 
 } // namespace internal
 
-gate_link::clients gate_link::clientsOf(const std::string &address)
+std::shared_ptr<web::http::client::http_client> gate_link::clientFor(const std::string &address,
+                                                                     bool idempotent)
 {
+    if (!idempotent) {
+        return makeHttpClient(
+            address, internal::forwardTimeout); // See target_exchange: a reused one may send twice.
+    }
     const std::lock_guard lock(m_mutex);
-    clients &known = m_clients[address];
-    if (known.reusing == nullptr) {
-        internal::http_client_config config;
-        config.set_timeout(internal::forwardTimeout);
-        const web::uri uri("http://" + address);
-        known.reusing = std::make_shared<internal::http_client>(uri, config);
-        known.oneShot = std::make_shared<internal::http_client>(uri, config);
+    std::shared_ptr<web::http::client::http_client> &known = m_clients[address];
+    if (known == nullptr) {
+        known = makeHttpClient(address, internal::forwardTimeout);
     }
     return known;
 }
@@ -96,8 +95,7 @@
                         const std::shared_ptr<const forward_request> &request,
                         const pplx::cancellation_token &cancel, answer_callback done)
 {
-    const clients ways = clientsOf(address);
-    const auto &client = request->idempotent ? ways.reusing : ways.oneShot;
+    const auto client = clientFor(address, request->idempotent);
     auto answer = std::make_shared<forward_answer>();
     client->request(internal::makeForward(*request, m_secret), cancel)
         .then([answer](const web::http::http_response &response) {
--- a/src/Daemon/gate_link.h
+++ b/src/Daemon/gate_link.h
@@ -32,16 +32,12 @@
                  const pplx::cancellation_token &cancel, answer_callback done);
 
 private:
-    struct clients
-    {
-        std::shared_ptr<web::http::client::http_client> reusing;
-        std::shared_ptr<web::http::client::http_client> oneShot;
-    };
-    clients clientsOf(const std::string &address);
+    std::shared_ptr<web::http::client::http_client> clientFor(const std::string &address,
+                                                              bool idempotent);
 
     const std::string m_secret;
     std::mutex m_mutex;
-    std::map<std::string, clients> m_clients;
+    std::map<std::string, std::shared_ptr<web::http::client::http_client>> m_clients;
 };
 
 /// The receiving side: reads a forwarded request from its headers.
--- a/src/Daemon/target_exchange.cpp
+++ b/src/Daemon/target_exchange.cpp
@@ -1,5 +1,6 @@
 #include "target_exchange.h"
 
+#include "../Transport/http_client.h"
 #include "../Transport/http_text.h"
 #include "target_orders.h"
 
@@ -9,19 +10,10 @@
 using web::http::http_exception;
 using web::http::http_request;
 using web::http::http_response;
-using web::http::client::http_client;
-using web::http::client::http_client_config;
 
 /// The deadline of each request ends its exchange; this only bounds what escapes that.
 constexpr std::chrono::seconds exchangeTimeout{120};
 
-std::shared_ptr<http_client> makeClient(const std::string &address)
-{
-    http_client_config config;
-    config.set_timeout(exchangeTimeout);
-    return std::make_shared<http_client>(web::uri("http://" + address), config);
-}
-
 http_request makeMessage(const forward_request &request, const gate_info &gate, std::uint64_t epoch,
                          time_point deadline)
 {
@@ -42,9 +34,6 @@
     if (!request.idempotencyKey.empty()) {
         headers.add(header::idempotencyKey, request.idempotencyKey);
     }
-    if (!request.idempotent) {
-        headers.add(web::http::header_names::connection, "close");
-    }
     if (request.body != nullptr && !request.body->empty()) {
         message.set_body(*request.body);
         headers.set_content_type(request.contentType);
@@ -104,8 +93,8 @@
 } // namespace internal
 
 target_exchange::target_exchange(const std::string &address)
-    : m_reusing(internal::makeClient(address))
-    , m_oneShot(internal::makeClient(address))
+    : m_address(address)
+    , m_reusing(makeHttpClient(address, internal::exchangeTimeout))
 { }
 
 void target_exchange::send(const forward_request &request, const gate_info &gate,
@@ -114,7 +103,8 @@
 {
     const time_point deadline = std::min(request.deadline, gate.authority);
     const auto message = internal::makeMessage(request, gate, epoch, deadline);
-    const auto &client = request.idempotent ? m_reusing : m_oneShot;
+    const auto client =
+        request.idempotent ? m_reusing : makeHttpClient(m_address, internal::exchangeTimeout);
     auto outcome = std::make_shared<exchange_outcome>();
     client->request(message, cancel)
         .then([outcome, id = request.requestId](const web::http::http_response &response) {
--- a/src/Daemon/target_exchange.h
+++ b/src/Daemon/target_exchange.h
@@ -36,7 +36,8 @@
 /// \brief Sends requests to one target and checks that each answer is whole and its own.
 ///
 /// cpprest's client silently sends a request again when a reused connection is closed without an
-/// answer. So non-idempotent requests go by connections that serve one request each.
+/// answer, and it reuses connections whatever `Connection` header the request has. So each
+/// non-idempotent request gets a client of its own, whose connection cannot have been used before.
 ///
 /// \code
 /// target_exchange exchange("127.0.0.1:9000");
@@ -56,8 +57,8 @@
               const pplx::cancellation_token &cancel, callback done);
 
 private:
-    std::shared_ptr<web::http::client::http_client> m_reusing;
-    std::shared_ptr<web::http::client::http_client> m_oneShot;
+    const std::string m_address;
+    std::shared_ptr<web::http::client::http_client> m_reusing; ///< for idempotent requests
 };
 
 } // namespace damaskward
--- a/src/Daemon/target_orders.cpp
+++ b/src/Daemon/target_orders.cpp
@@ -2,6 +2,7 @@
 
 #include "../Core/json.h"
 #include "../Ownership/message_text.h"
+#include "../Transport/http_client.h"
 
 namespace damaskward {
 
@@ -9,7 +10,6 @@
 using web::http::http_request;
 using web::http::http_response;
 using web::http::client::http_client;
-using web::http::client::http_client_config;
 
 bool neverConnected(const http_exception &e)
 {
@@ -28,9 +28,7 @@
     const std::lock_guard lock(m_mutex);
     std::shared_ptr<http_client> &known = m_clients[address];
     if (known == nullptr) {
-        http_client_config config;
-        config.set_timeout(m_timeout);
-        known = std::make_shared<http_client>(web::uri("http://" + address), config);
+        known = makeHttpClient(address, m_timeout);
     }
     return known;
 }
--- /dev/null
+++ b/src/Transport/http_client.h
@@ -0,0 +1,26 @@
+/// \file
+/// \brief Makes HTTP clients. Source: cpprestsdk.
+
+#pragma once
+
+#include "../Core/time.h"
+
+#include <cpprest/http_client.h>
+
+#include <memory>
+#include <string>
+
+namespace damaskward {
+
+/// \param address IP:PORT
+/// \param timeout how long one exchange may take
+/// \returns a client with connections of its own; safe to use from many threads.
+inline std::shared_ptr<web::http::client::http_client> makeHttpClient(const std::string &address,
+                                                                      milliseconds timeout)
+{
+    web::http::client::http_client_config config;
+    config.set_timeout(timeout);
+    return std::make_shared<web::http::client::http_client>(web::uri("http://" + address), config);
+}
+
+} // namespace damaskward
--- /dev/null
+++ b/test/process_once_test.cpp
@@ -0,0 +1,206 @@
+// Non-idempotent requests at most once, and refusals that are true, with processes killed at the
+// worst moments.
+
+#include "test/support/process_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <future>
+
+namespace {
+
+using namespace damaskward;
+using namespace damaskward::testing;
+
+const char *const apiKey = "examiner-key";
+
+fleet_options onceFleet(int portBase, const std::string &behaviour)
+{
+    fleet_options options;
+    options.portBase = portBase;
+    options.vms = {{"a1", "a"}, {"a2", "a"}, {"a3", "a"}};
+    options.targets = {{"promotion/p1", "a", behaviour, "slots=2 connections=130"},
+                       {"promotion/p2", "a", behaviour, "slots=2 connections=130"}};
+    options.rules = "data-center a share=100 # test\n"
+                    "service promotion unkeyed non-idempotent # test\n"
+                    "allow * promotion # test\n"
+        + teamRules("examiners", apiKey, 10000, 5000);
+    return options;
+}
+
+std::uint64_t runsOf(const process_fleet &fleet, const std::string &idempotencyKey)
+{
+    std::uint64_t runs = 0;
+    for (const char *name : {"promotion/p1", "promotion/p2"}) {
+        runs += jsonUnsigned(fleet.records(name)["per_key"], idempotencyKey.c_str());
+    }
+    return runs;
+}
+
+std::string gateOf(const process_fleet &fleet, std::size_t vm, const std::string &target)
+{
+    const Json::Value own = fleet.status(vm);
+    for (const Json::Value &entry : own["targets"]) {
+        if (jsonText(entry, "target") == target) {
+            return jsonText(entry, "gate");
+        }
+    }
+    return "";
+}
+
+class process_once_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(process_once_test);
+    CPPUNIT_TEST(resendGetsTheRecordedAnswer);
+    CPPUNIT_TEST(lostAnswersOfTheTable);
+    CPPUNIT_TEST(gateKilledBeforeTheAnswer);
+    CPPUNIT_TEST(gateKilledBetweenIntentAndDispatch);
+    CPPUNIT_TEST(targetCrashedAfterRunning);
+    CPPUNIT_TEST(platformDownIsNotRun);
+    CPPUNIT_TEST(crashingRequestTakesTwoTargetsAtMost);
+    CPPUNIT_TEST_SUITE_END();
+
+    void resendGetsTheRecordedAnswer()
+    {
+        process_fleet fleet(onceFleet(23000, "{}"));
+        CPPUNIT_ASSERT(fleet.start());
+        const http_answer first = fleet.post(0, "/promotion/s1", apiKey, "once-1");
+        CPPUNIT_ASSERT_EQUAL(200, first.status);
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            const http_answer again = fleet.post(vm, "/promotion/s1", apiKey, "once-1");
+            CPPUNIT_ASSERT_EQUAL(200, again.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("run"), again.state());
+            CPPUNIT_ASSERT_EQUAL(first.body, again.body);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, runsOf(fleet, "once-1"));
+        const http_answer other = fleet.post(1, "/promotion/s2", apiKey, "once-1");
+        CPPUNIT_ASSERT_EQUAL(422, other.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), other.state());
+    }
+
+    void lostAnswersOfTheTable()
+    {
+        process_fleet fleet(onceFleet(23200, "{}"));
+        CPPUNIT_ASSERT(fleet.start());
+        fleet.behave("platform", R"({"lose_answers":0.5})");
+        for (int i = 0; i < 60; ++i) {
+            const std::string key = "lost-" + std::to_string(i);
+            http_answer answer;
+            for (std::size_t vm = 0; vm < 3 && answer.state() != "run"; ++vm) {
+                answer = fleet.post(vm, "/promotion/s", apiKey, key);
+                const std::uint64_t runs = runsOf(fleet, key);
+                CPPUNIT_ASSERT(runs <= 1);
+                CPPUNIT_ASSERT_MESSAGE(key, answer.state() != "not-run" || runs == 0);
+            }
+        }
+    }
+
+    void gateKilledBeforeTheAnswer()
+    {
+        process_fleet fleet(onceFleet(23400, R"({"service_us":600000})"));
+        CPPUNIT_ASSERT(fleet.start());
+        auto first = std::async(std::launch::async, [&fleet] {
+            return fleet.post(0, "/promotion/s", apiKey, "cut-1");
+        });
+        CPPUNIT_ASSERT(
+            process_fleet::eventually(seconds(10), [&] { return runsOf(fleet, "cut-1") == 1; }));
+        const bool atOne = fleet.records("promotion/p1")["runs"].asUInt64() == 1;
+        const std::string gate = gateOf(fleet, 0, atOne ? "promotion/p1" : "promotion/p2");
+        fleet.kill(gate);
+        CPPUNIT_ASSERT(first.get().state() != "not-run");
+        const std::size_t other = gate == "a2" ? 2 : 1;
+        for (int i = 0; i < 5; ++i) {
+            const http_answer again = fleet.post(other, "/promotion/s", apiKey, "cut-1");
+            CPPUNIT_ASSERT(again.state() != "not-run");
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, runsOf(fleet, "cut-1"));
+    }
+
+    void gateKilledBetweenIntentAndDispatch()
+    {
+        process_fleet fleet(onceFleet(23600, "{}"));
+        CPPUNIT_ASSERT(fleet.start());
+        fleet.behave("platform", R"({"slow_answer_ms":300})");
+        auto first = std::async(std::launch::async, [&fleet] {
+            return fleet.post(0, "/promotion/s", apiKey, "cut-2");
+        });
+        CPPUNIT_ASSERT(process_fleet::eventually(
+            seconds(10), [&] { return fleet.platformCounts()["intents"].asUInt64() == 1; }));
+        // Which VM wrote the row is not known; all three are killed and started again.
+        for (const char *vm : {"a1", "a2", "a3"}) {
+            fleet.kill(vm);
+        }
+        first.wait();
+        fleet.behave("platform", "{}");
+        for (const char *vm : {"a1", "a2", "a3"}) {
+            fleet.startProcess(vm);
+        }
+        http_answer again;
+        CPPUNIT_ASSERT(process_fleet::eventually(seconds(20), [&] {
+            again = fleet.post(1, "/promotion/s", apiKey, "cut-2");
+            return again.state() == "unknown";
+        }));
+        CPPUNIT_ASSERT_EQUAL(std::string("in-doubt"), again.reason());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, runsOf(fleet, "cut-2"));
+    }
+
+    void targetCrashedAfterRunning()
+    {
+        process_fleet fleet(onceFleet(23800, R"({"crash_after_run":true})"));
+        CPPUNIT_ASSERT(fleet.start());
+        const http_answer first = fleet.post(0, "/promotion/s", apiKey, "crash-1");
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), first.state());
+        const bool oneEnded = process_fleet::eventually(seconds(10), [&] {
+            return !fleet.isRunning("promotion/p1") || !fleet.isRunning("promotion/p2");
+        });
+        CPPUNIT_ASSERT(oneEnded);
+        const http_answer again = fleet.post(1, "/promotion/s", apiKey, "crash-1");
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), again.state());
+        // The one that still runs has not been given it.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, runsOf(fleet, "crash-1"));
+    }
+
+    void platformDownIsNotRun()
+    {
+        process_fleet fleet(onceFleet(24000, "{}"));
+        CPPUNIT_ASSERT(fleet.start());
+        fleet.behave("platform", R"({"down":true})");
+        const http_answer answer = fleet.post(0, "/promotion/s", apiKey, "down-1");
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), answer.state());
+        fleet.behave("platform", "{}");
+        CPPUNIT_ASSERT(process_fleet::eventually(seconds(10), [&] {
+            return fleet.post(1, "/promotion/s", apiKey, "down-1").state() == "run";
+        }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, runsOf(fleet, "down-1"));
+    }
+
+    void crashingRequestTakesTwoTargetsAtMost()
+    {
+        fleet_options options = onceFleet(24200, R"({"crash_key":"poison"})");
+        options.targets.push_back({"promotion/p3", "a", R"({"crash_key":"poison"})", "slots=2"});
+        options.targets.push_back({"promotion/p4", "a", R"({"crash_key":"poison"})", "slots=2"});
+        options.rules.replace(options.rules.find("non-idempotent"), 14, "idempotent");
+        process_fleet fleet(options);
+        CPPUNIT_ASSERT(fleet.start());
+        for (int i = 0; i < 12; ++i) {
+            const auto vm = static_cast<std::size_t>(i % 3);
+            const http_answer answer = fleet.get(vm, "/promotion/poison", apiKey);
+            CPPUNIT_ASSERT(answer.state() != "run");
+        }
+        int lost = 0;
+        for (const char *name : {"promotion/p1", "promotion/p2", "promotion/p3", "promotion/p4"}) {
+            lost += fleet.isRunning(name) ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(lost >= 1);
+        CPPUNIT_ASSERT(lost <= 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("quarantined"),
+                             fleet.get(1, "/promotion/poison", apiKey).reason());
+        CPPUNIT_ASSERT_EQUAL(std::string("run"), fleet.get(1, "/promotion/other", apiKey).state());
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(process_once_test, "process_once");
+CPPUNIT_REGISTRY_ADD_TO_DEFAULT("process_once");
+
+} // namespace
--- /dev/null
+++ b/test/support/raw_target.cpp
@@ -0,0 +1,106 @@
+#include "raw_target.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace damaskward {
+namespace testing {
+
+std::string rawHeader(const std::string &request, const std::string &name)
+{
+    const std::string begin = "\r\n" + name + ":";
+    const std::size_t at = request.find(begin);
+    if (at == std::string::npos) {
+        return "";
+    }
+    const std::size_t start = request.find_first_not_of(' ', at + begin.size());
+    return request.substr(start, request.find("\r\n", start) - start);
+}
+
+raw_target::raw_target(script answer)
+    : m_answer(std::move(answer))
+{
+    m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    listen(m_listener, SOMAXCONN);
+    socklen_t length = sizeof(address);
+    getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
+    m_port = ntohs(address.sin_port);
+    m_acceptor = std::thread([this] { acceptAll(); });
+}
+
+raw_target::~raw_target()
+{
+    m_stopping = true;
+    shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    close(m_listener);
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const int socket : m_sockets) {
+            shutdown(socket, SHUT_RDWR);
+        }
+    }
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void raw_target::acceptAll()
+{
+    while (!m_stopping) {
+        const int socket = accept(m_listener, nullptr, nullptr);
+        if (socket < 0) {
+            return;
+        }
+        ++m_open;
+        const std::lock_guard lock(m_mutex);
+        m_sockets.push_back(socket);
+        m_threads.emplace_back([this, socket] { serve(socket); });
+    }
+}
+
+std::string raw_target::readRequest(int socket)
+{
+    std::string text;
+    std::array<char, 4096> buffer{};
+    while (text.find("\r\n\r\n") == std::string::npos) {
+        const ssize_t got = recv(socket, buffer.data(), buffer.size(), 0);
+        if (got <= 0) {
+            return "";
+        }
+        text.append(buffer.data(), static_cast<std::size_t>(got));
+    }
+    return text;
+}
+
+void raw_target::serve(int socket)
+{
+    while (!m_stopping) {
+        const std::string request = readRequest(socket);
+        if (request.empty()) {
+            break;
+        }
+        const int number = ++m_received;
+        const std::string answer = m_answer(number, rawHeader(request, "Damask-Request-Id"));
+        if (answer.empty()) {
+            break;
+        }
+        send(socket, answer.data(), answer.size(), MSG_NOSIGNAL);
+        if (answer.find("Connection: close") != std::string::npos) {
+            break;
+        }
+    }
+    close(socket);
+    --m_open;
+}
+
+} // namespace testing
+} // namespace damaskward
--- a/tools/load/open_loop.cpp
+++ b/tools/load/open_loop.cpp
@@ -10,7 +10,6 @@
 using web::http::http_request;
 using web::http::http_response;
 using web::http::client::http_client;
-using web::http::client::http_client_config;
 
 constexpr milliseconds healthPeriod{100};
 constexpr milliseconds answerGrace{3000};
@@ -43,11 +42,9 @@
     , m_runName(std::to_string(std::chrono::system_clock::now().time_since_epoch().count()))
 {
     for (const std::string &address : m_plan.vms) {
-        http_client_config config;
-        config.set_timeout(m_plan.deadline + answerGrace);
         auto e = std::make_shared<endpoint>();
         e->address = address;
-        e->client = std::make_shared<http_client>(web::uri("http://" + address), config);
+        e->client = makeHttpClient(address, m_plan.deadline + answerGrace);
         m_endpoints.push_back(std::move(e));
     }
 }
@@ -69,11 +66,9 @@
 {
     while (!m_stop) {
         for (const auto &e : m_endpoints) {
-            http_client_config config;
-            config.set_timeout(healthPeriod * 3);
-            http_client client(web::uri("http://" + e->address), config);
             try {
-                e->healthy = client.request(web::http::methods::GET, "/health").get().status_code()
+                const auto client = makeHttpClient(e->address, healthPeriod * 3);
+                e->healthy = client->request(web::http::methods::GET, "/health").get().status_code()
                     == web::http::status_codes::OK;
             } catch (const std::exception &) {
                 e->healthy = false;
@@ -106,12 +101,13 @@
         request.headers().add(header::idempotencyKey,
                               m_runName + "-" + s.name + "-" + std::to_string(number));
         request.set_body("{}", "application/json");
-        request.headers().add(web::http::header_names::connection, "close");
     }
     ++m_inFlight;
     const auto e = pick(number);
-    e->client->request(request).then(
-        [this, e, name = s.name, due](const pplx::task<http_response> &task) {
+    const auto client =
+        s.once ? makeHttpClient(e->address, m_plan.deadline + answerGrace) : e->client;
+    client->request(request).then(
+        [this, client, name = s.name, due](const pplx::task<http_response> &task) {
             try {
                 const http_response response = task.get();
                 note(name, due, response.status_code(),
--- a/tools/standin/platform_standin.cpp
+++ b/tools/standin/platform_standin.cpp
@@ -33,6 +33,7 @@
 {
     bool down = false;
     std::int64_t slowMillis = 0;
+    std::int64_t slowAnswerMillis = 0; ///< between taking effect and the answer
     double loseAnswers = 0.0; ///< the share of applied commits whose answer is lost
     std::set<std::string> cut; ///< VMs that get no answer
 };
@@ -78,6 +79,7 @@
             return;
         }
         std::int64_t slowMillis = 0;
+        std::int64_t slowAnswerMillis = 0;
         {
             const std::lock_guard lock(m_mutex);
             const std::string vm = headerText(request.headers(), header::vm);
@@ -86,11 +88,16 @@
                 return;
             }
             slowMillis = m_wrong.slowMillis;
+            slowAnswerMillis = path == "/table/commit" ? m_wrong.slowAnswerMillis : 0;
         }
         if (slowMillis > 0) {
             std::this_thread::sleep_for(milliseconds(slowMillis));
         }
-        sendReply(request, answer(request, path, body));
+        const http_response response = answer(request, path, body);
+        if (slowAnswerMillis > 0) {
+            std::this_thread::sleep_for(milliseconds(slowAnswerMillis));
+        }
+        sendReply(request, response);
     }
 
     http_response answer(const http_request &request, const std::string &path,
@@ -207,6 +214,7 @@
             const std::lock_guard lock(m_mutex);
             m_wrong.down = jsonBool(*value, "down");
             m_wrong.slowMillis = jsonSigned(*value, "slow_ms");
+            m_wrong.slowAnswerMillis = jsonSigned(*value, "slow_answer_ms");
             m_wrong.loseAnswers = jsonNumber(*value, "lose_answers");
             m_wrong.cut.clear();
             for (const Json::Value &vm : (*value)["cut"]) {
@@ -223,9 +231,19 @@
         value["commits"] = Json::UInt64(m_commits);
         value["reads"] = Json::UInt64(m_reads);
         value["rows"] = Json::UInt64(m_table.rows().size());
+        value["intents"] = Json::UInt64(countIntents());
         return writeJson(value);
     }
 
+    std::size_t countIntents() const
+    {
+        std::size_t count = 0;
+        for (const auto &[name, row] : m_table.rows()) {
+            count += name.rfind("intent/", 0) == 0 && !row.deleted ? 1 : 0;
+        }
+        return count;
+    }
+
     std::mutex m_mutex;
     misbehaviour m_wrong;
     memory_table m_table;
