Rolling restarts cut nothing; an endless recursion in the draw of tokens mended

Cause: under a rolling restart VMs died with a stack overflow (address sanitizer: team_front::drawFor and peer_directory::call, one inside the other). A draw to a bank whose VM has no link failed at once and was drawn again at once. What remained after that: requests that had waited for a new bank were refused as over the limit at its first answer. Ruled out: a race on a call's last attempt (mended too, the crash stayed); the listeners' closing (nothing was inside).

--- a/src/Admission/team_account.h
+++ b/src/Admission/team_account.h
@@ -58,9 +58,7 @@
             return; // Given up already; what it brought lapses unspent.
         }
         m_giveUpAt = time_point{};
-        if (answer) {
-            m_drawAgainAt = now + microseconds(answer->retryMicros);
-        }
+        m_drawAgainAt = now + (answer ? microseconds(answer->retryMicros) : failedDrawPause);
         if (!answer || answer->granted == 0) {
             return;
         }
@@ -72,6 +70,8 @@
 
 private:
     static constexpr int maxReserve = 64;
+    /// A bank that cannot be reached is asked again after this time, not at once.
+    static constexpr microseconds failedDrawPause{20000};
 
     int m_held = 0;
     int m_spentSinceDraw = 0;
--- a/src/Core/json.cpp
+++ b/src/Core/json.cpp
@@ -29,33 +29,50 @@
     return std::nullopt;
 }
 
+namespace internal {
+
+/// \returns the member, or null when \a object is no object or has none of that name.
+const Json::Value &member(const Json::Value &object, const char *name)
+{
+    return object.isObject() ? object[name] : Json::Value::nullSingleton();
+}
+
+} // namespace internal
+
 std::string jsonText(const Json::Value &object, const char *name)
 {
-    const Json::Value &value = object[name];
+    const Json::Value &value = internal::member(object, name);
     return value.isString() ? value.asString() : std::string();
 }
 
 std::uint64_t jsonUnsigned(const Json::Value &object, const char *name)
 {
-    const Json::Value &value = object[name];
+    const Json::Value &value = internal::member(object, name);
     return value.isUInt64() ? value.asUInt64() : 0;
 }
 
 std::int64_t jsonSigned(const Json::Value &object, const char *name)
 {
-    const Json::Value &value = object[name];
+    const Json::Value &value = internal::member(object, name);
     return value.isInt64() ? value.asInt64() : 0;
 }
 
 double jsonNumber(const Json::Value &object, const char *name)
 {
-    const Json::Value &value = object[name];
+    const Json::Value &value = internal::member(object, name);
     return value.isNumeric() ? value.asDouble() : 0.0;
 }
 
+const Json::Value &jsonArray(const Json::Value &object, const char *name)
+{
+    static const Json::Value empty(Json::arrayValue);
+    const Json::Value &value = internal::member(object, name);
+    return value.isArray() ? value : empty;
+}
+
 bool jsonBool(const Json::Value &object, const char *name)
 {
-    const Json::Value &value = object[name];
+    const Json::Value &value = internal::member(object, name);
     return value.isBool() && value.asBool();
 }
 
--- a/src/Core/json.h
+++ b/src/Core/json.h
@@ -24,5 +24,7 @@
 std::int64_t jsonSigned(const Json::Value &object, const char *name);
 double jsonNumber(const Json::Value &object, const char *name);
 bool jsonBool(const Json::Value &object, const char *name);
+/// \returns the array, or an empty one.
+const Json::Value &jsonArray(const Json::Value &object, const char *name);
 
 } // namespace damaskward
--- a/src/Daemon/control_loop.cpp
+++ b/src/Daemon/control_loop.cpp
@@ -317,7 +317,8 @@
     view->gates = gateInfos(now);
     view->banks = bankInfos(now);
     view->objectives = m_machine.rules().objectives;
-    view->stopping = m_stopping;
+    view->ready = m_machine.mirror().wasRead()
+        && m_machine.rulesVersion() >= m_machine.mirror().head().version;
     m_view.publish(view);
     if (m_onView) {
         m_onView(view);
--- a/src/Daemon/control_view.h
+++ b/src/Daemon/control_view.h
@@ -49,7 +49,7 @@
     std::vector<gate_info> gates;
     std::map<team_id, bank_info> banks; ///< teams with a limit
     std::map<service_id, objective_rule> objectives;
-    bool stopping = false;
+    bool ready = false; ///< this VM knows the rules and owners well enough to serve callers
 };
 
 } // namespace damaskward
--- a/src/Daemon/entry_call.h
+++ b/src/Daemon/entry_call.h
@@ -14,6 +14,15 @@
 
 namespace damaskward {
 
+/// Where a request was sent last.
+struct last_attempt
+{
+    target_id target;
+    std::uint64_t gateTerm = 0;
+    std::uint64_t epoch = 0;
+    time_point sentAt;
+};
+
 /// One caller's request and its attempts.
 struct entry_call
 {
@@ -34,11 +43,21 @@
     int inFlight = 0; ///< attempts that have not come back
     int sent = 0; ///< attempts so far
     bool hedged = false;
-    std::optional<target_id> lastTarget;
-    std::uint64_t lastGateTerm = 0;
-    std::uint64_t lastEpoch = 0;
-    time_point lastSentAt{};
+    std::optional<last_attempt> last;
     std::optional<forward_answer> lastAnswer;
+
+    /// \returns the last attempt, if there was one. Thread-safe.
+    std::optional<last_attempt> lastAttempt()
+    {
+        const std::lock_guard lock(mutex);
+        return last;
+    }
+    /// \returns the last answer, or \a fallback. Thread-safe.
+    forward_answer lastAnswerOr(const forward_answer &fallback)
+    {
+        const std::lock_guard lock(mutex);
+        return lastAnswer.value_or(fallback);
+    }
 };
 
 } // namespace damaskward
--- a/src/Daemon/entry_front.cpp
+++ b/src/Daemon/entry_front.cpp
@@ -195,28 +195,29 @@
     return near.empty() ? far : near;
 }
 
-const routed_target *entry_front::chooseAny(entry_call &call, const routed_service &service)
+const routed_target *entry_front::chooseAny(const std::optional<last_attempt> &last,
+                                            const routed_service &service)
 {
     std::optional<target_id> chosen;
     {
         const std::lock_guard lock(m_choosersMutex);
-        chosen =
-            m_choosers[service.id].choose(candidates(service), call.lastTarget, mono_clock::now());
+        const auto tried = last ? std::optional(last->target) : std::nullopt;
+        chosen = m_choosers[service.id].choose(candidates(service), tried, mono_clock::now());
     }
     const auto same = [&chosen](const routed_target &t) { return chosen && t.id == *chosen; };
     const auto it = std::find_if(service.targets.begin(), service.targets.end(), same);
     return it == service.targets.end() ? nullptr : &*it;
 }
 
-bool entry_front::isWorthSending(const entry_call &call, const routed_target &target,
-                                 std::uint64_t epoch) const
+bool entry_front::isWorthSending(const std::optional<last_attempt> &last,
+                                 const routed_target &target, std::uint64_t epoch)
 {
     if (target.gate.empty()) {
         return false;
     }
-    const bool changed = !call.lastTarget || *call.lastTarget != target.id
-        || call.lastGateTerm != target.gateTerm || call.lastEpoch != epoch;
-    return changed || mono_clock::now() >= call.lastSentAt + internal::ownerRetryTime;
+    const bool changed = !last || last->target != target.id || last->gateTerm != target.gateTerm
+        || last->epoch != epoch;
+    return changed || mono_clock::now() >= last->sentAt + internal::ownerRetryTime;
 }
 
 void entry_front::route(const call_ptr &call)
@@ -231,6 +232,7 @@
         refuse(call, 503, refusal::quarantined);
         return;
     }
+    const std::optional<last_attempt> last = call->lastAttempt();
     const routed_target *target = nullptr;
     std::optional<std::uint32_t> shard;
     std::uint64_t epoch = 0;
@@ -240,9 +242,9 @@
         shard = where.shard;
         epoch = where.epoch;
     } else {
-        target = chooseAny(*call, *service);
+        target = chooseAny(last, *service);
     }
-    if (target == nullptr || !isWorthSending(*call, *target, epoch)) {
+    if (target == nullptr || !isWorthSending(last, *target, epoch)) {
         wait(call);
         return;
     }
@@ -277,10 +279,7 @@
         const std::lock_guard lock(call->mutex);
         ++call->inFlight;
         ++call->sent;
-        call->lastTarget = target.id;
-        call->lastGateTerm = target.gateTerm;
-        call->lastEpoch = epoch;
-        call->lastSentAt = a->sentAt;
+        call->last = last_attempt{target.id, target.gateTerm, epoch, a->sentAt};
     }
     if (!call->keyed) {
         const std::lock_guard lock(m_choosersMutex);
@@ -344,6 +343,7 @@
     noteTarget(*a, answer);
     const call_ptr &call = a->call;
     bool again = false;
+    forward_answer best;
     {
         const std::lock_guard lock(call->mutex);
         --call->inFlight;
@@ -361,10 +361,11 @@
         if (!worse) {
             call->lastAnswer = answer;
         }
+        best = *call->lastAnswer;
         again = !final && (waitsForOwner(*call, answer) || maySendAgain(*call, answer));
     }
     if (!again) {
-        this->answer(call, *call->lastAnswer);
+        this->answer(call, best);
         return;
     }
     m_parts.counts.count("sent_again");
@@ -391,8 +392,9 @@
     if (service == nullptr || candidates(*service).size() < 2 || !m_retries.trySpend()) {
         return;
     }
-    const routed_target *target = chooseAny(*call, *service);
-    if (target == nullptr || target->gate.empty() || target->id == *call->lastTarget) {
+    const std::optional<last_attempt> last = call->lastAttempt();
+    const routed_target *target = chooseAny(last, *service);
+    if (target == nullptr || target->gate.empty() || target->id == last->target) {
         return;
     }
     m_parts.counts.count("hedges");
@@ -425,7 +427,7 @@
             a->cancel.cancel();
             continue;
         }
-        if (!a->call->keyed && a->call->idempotent && !a->call->hedged) {
+        if (!a->call->keyed && a->call->idempotent) {
             duration delay{};
             {
                 const std::lock_guard lock(m_choosersMutex);
@@ -450,7 +452,7 @@
             route(call);
         } else {
             const forward_answer none = makeRefused(503, run_state::NotRun, refusal::noOwner);
-            answer(call, call->lastAnswer.value_or(none));
+            answer(call, call->lastAnswerOr(none));
         }
     }
     reviewAttempts(now);
--- a/src/Daemon/entry_front.h
+++ b/src/Daemon/entry_front.h
@@ -25,8 +25,9 @@
 
 namespace damaskward {
 
-/// One caller's request and its attempts.
+/// One caller's request and its attempts, and where it was sent last.
 struct entry_call;
+struct last_attempt;
 
 /// What the entry works with.
 struct entry_parts
@@ -75,10 +76,11 @@
     void admit(const call_ptr &call);
     void readBody(const call_ptr &call);
     void route(const call_ptr &call);
-    const routed_target *chooseAny(entry_call &call, const routed_service &service);
+    const routed_target *chooseAny(const std::optional<last_attempt> &last,
+                                   const routed_service &service);
     std::vector<target_id> candidates(const routed_service &service) const;
-    bool isWorthSending(const entry_call &call, const routed_target &target,
-                        std::uint64_t epoch) const;
+    static bool isWorthSending(const std::optional<last_attempt> &last, const routed_target &target,
+                               std::uint64_t epoch);
     void sendTo(const call_ptr &call, const routed_target &target,
                 std::optional<std::uint32_t> shard, std::uint64_t epoch);
     void hedge(const call_ptr &call);
--- a/src/Daemon/team_front.cpp
+++ b/src/Daemon/team_front.cpp
@@ -45,7 +45,8 @@
         const std::lock_guard lock(a->mutex);
         spent = a->queue.empty() && a->tokens.trySpend(now);
         if (!spent) {
-            a->queue.push_back({now, std::min(deadline, now + internal::bankPatience), done});
+            a->queue.push_back(
+                {std::min(deadline, now + internal::bankPatience), time_point{}, done});
         }
     }
     if (spent) {
@@ -77,11 +78,29 @@
                          const bool answered = result != nullptr && jsonBool(*result, "bank");
                          finishDraw(
                              a, answered ? std::optional(readDrawAnswer(*result)) : std::nullopt);
-                         drawFor(team, a); // For those that came while this draw was on its way.
+                         if (answered) {
+                             drawFor(team, a); // For those that came in the meantime.
+                         }
                      });
     }
 }
 
+std::vector<team_front::admit_callback> team_front::takeOverLimit(std::deque<waiting> &queue,
+                                                                  time_point now)
+{
+    std::vector<admit_callback> over;
+    for (waiting &request : queue) {
+        if (request.limitedSince == time_point{}) {
+            request.limitedSince = now;
+        }
+    }
+    while (!queue.empty() && now >= queue.front().limitedSince + internal::limitPatience) {
+        over.push_back(std::move(queue.front().done));
+        queue.pop_front();
+    }
+    return over;
+}
+
 void team_front::finishDraw(const std::shared_ptr<account> &a,
                             const std::optional<draw_answer> &answer)
 {
@@ -96,13 +115,12 @@
             admitted.push_back(std::move(a->queue.front().done));
             a->queue.pop_front();
         }
-        // The bank answered and has no more: what has waited long is over the team's limit. A
-        // bank that is not open yet says so with a lifetime of zero.
+        // The bank answered and has no more: what has waited long since it first said so is over
+        // the team's limit. A bank that is not open yet says so with a lifetime of zero; waiting
+        // for a new bank does not count.
         const bool spent = answer && answer->lifetimeMicros > 0 && admitted.size() < asked;
-        while (spent && !a->queue.empty()
-               && now >= a->queue.front().since + internal::limitPatience) {
-            refused.push_back(std::move(a->queue.front().done));
-            a->queue.pop_front();
+        if (spent) {
+            refused = takeOverLimit(a->queue, now);
         }
     }
     for (const admit_callback &done : admitted) {
--- a/src/Daemon/team_front.h
+++ b/src/Daemon/team_front.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 namespace damaskward {
 
@@ -44,8 +45,8 @@
 private:
     struct waiting
     {
-        time_point since;
         time_point until;
+        time_point limitedSince; ///< when the bank first had no token for it
         admit_callback done;
     };
     struct account
@@ -62,6 +63,7 @@
 
     std::shared_ptr<account> accountOf(const team_id &team);
     void drawFor(const team_id &team, const std::shared_ptr<account> &a);
+    static std::vector<admit_callback> takeOverLimit(std::deque<waiting> &queue, time_point now);
     void finishDraw(const std::shared_ptr<account> &a, const std::optional<draw_answer> &answer);
 
     const vm_id m_self;
--- a/src/Daemon/vm_process.cpp
+++ b/src/Daemon/vm_process.cpp
@@ -185,10 +185,13 @@
         m_entry.handle(message);
         return;
     }
-    const bool leaving = m_leaving;
-    sendReply(message,
-              makeJson(leaving ? 503 : 200,
-                       leaving ? R"({"state":"leaving"})" : R"({"state":"serving"})"));
+    if (m_leaving) {
+        sendReply(message, makeJson(503, R"({"state":"leaving"})"));
+    } else if (!m_views.get()->ready) {
+        sendReply(message, makeJson(503, R"({"state":"starting"})"));
+    } else {
+        sendReply(message, makeJson(200, R"({"state":"serving"})"));
+    }
 }
 
 bool vm_process::isPeer(const web::http::http_request &message) const
--- a/src/Operator/burn_report.cpp
+++ b/src/Operator/burn_report.cpp
@@ -91,13 +91,15 @@
 {
     std::vector<burn_series> series;
     const std::optional<Json::Value> value = readJsonObject(json);
-    if (!value || !(*value)["series"].isArray()) {
+    if (!value) {
         return series;
     }
-    for (const Json::Value &entry : (*value)["series"]) {
+    for (const Json::Value &entry : jsonArray(*value, "series")) {
         burn_series s{service_id(jsonText(entry, "service")), team_id(jsonText(entry, "team")), {}};
-        for (const Json::Value &row : entry["minutes"]) {
-            if (row.isArray() && row.size() == 3) {
+        for (const Json::Value &row : jsonArray(entry, "minutes")) {
+            const bool good = row.isArray() && row.size() == 3 && row[0].isInt64()
+                && row[1].isUInt64() && row[2].isUInt64();
+            if (good) {
                 s.minutes.push_back({row[0].asInt64(), row[1].asUInt64(), row[2].asUInt64()});
             }
         }
--- a/src/Ownership/message_text.cpp
+++ b/src/Ownership/message_text.cpp
@@ -129,8 +129,8 @@
     message.sequence = jsonUnsigned(value, "sequence");
     message.setNumber = jsonUnsigned(value, "set");
     message.deadline.micros = jsonSigned(value, "deadline");
-    const Json::Value &shards = value["shards"];
-    if (shards.isArray()) {
+    const Json::Value &shards = jsonArray(value, "shards");
+    if (value.isObject() && value.isMember("shards")) {
         message.shards.emplace();
         for (const Json::Value &entry : shards) {
             const auto number = static_cast<std::uint32_t>(jsonUnsigned(entry, "n"));
--- a/src/Platform/table_text.cpp
+++ b/src/Platform/table_text.cpp
@@ -75,8 +75,8 @@
         answer.outcome = commit_outcome::Conflict;
     }
     answer.revision = jsonUnsigned(*value, "revision");
-    for (const Json::Value &name : (*value)["conflicts"]) {
-        answer.conflicts.push_back(name.asString());
+    for (const Json::Value &name : jsonArray(*value, "conflicts")) {
+        answer.conflicts.push_back(name.isString() ? name.asString() : "");
     }
     return answer;
 }
@@ -105,7 +105,7 @@
     }
     table_changes changes;
     changes.revision = jsonUnsigned(*value, "revision");
-    for (const Json::Value &entry : (*value)["rows"]) {
+    for (const Json::Value &entry : jsonArray(*value, "rows")) {
         if (!entry.isObject()) {
             return std::nullopt;
         }
--- a/src/Table/rows.cpp
+++ b/src/Table/rows.cpp
@@ -181,7 +181,7 @@
     row.adminAddress = jsonText(*value, "admin");
     row.rulesVersion = jsonUnsigned(*value, "rules");
     row.nonce = jsonUnsigned(*value, "nonce");
-    for (const Json::Value &v : (*value)["voters"]) {
+    for (const Json::Value &v : jsonArray(*value, "voters")) {
         row.voters.push_back({vm_id(jsonText(v, "vm")), jsonUnsigned(v, "term")});
     }
     return row;
--- /dev/null
+++ b/test/process_operator_test.cpp
@@ -0,0 +1,268 @@
+// What operators do while traffic runs: keys withdrawn, targets drained, data centres taken out,
+// VMs stopped one after the other, versions of the rules in races and cuts.
+
+#include "test/support/process_fleet.h"
+#include "tools/load/open_loop.h"
+
+#include "damaskward/Hashing"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <future>
+#include <iostream>
+
+namespace {
+
+using namespace damaskward;
+using namespace damaskward::testing;
+
+const char *const dojoKey = "dojo-key-1";
+const char *const guestKey = "guest-key-1";
+/// No new work after this long, by the target that the project has set itself.
+constexpr seconds noNewWorkAfter{3};
+
+fleet_options operatorFleet(int portBase)
+{
+    fleet_options options;
+    options.portBase = portBase;
+    options.vms = {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}};
+    const std::string rule = "slots=4 connections=130";
+    options.targets = {
+        {"lookup/l1", "a", "{\"slots\":4}", rule}, {"lookup/l2", "a", "{\"slots\":4}", rule},
+        {"lookup/l3", "b", "{\"slots\":4}", rule}, {"lookup/l4", "b", "{\"slots\":4}", rule},
+        {"maps/m1", "a", "{\"slots\":4}", rule},   {"maps/m2", "b", "{\"slots\":4}", rule}};
+    options.rules = "data-center a share=50 # test\ndata-center b share=50 # test\n"
+                    "service lookup keyed idempotent shards=16 # test\n"
+                    "service maps unkeyed idempotent # test\n"
+                    "allow * lookup # test\nallow * maps # test\n"
+        + teamRules("dojo", dojoKey, 100000, 100000) + teamRules("guest", guestKey, 1000, 1000);
+    return options;
+}
+
+std::uint64_t runsAt(const process_fleet &fleet, const std::string &target)
+{
+    return jsonUnsigned(fleet.records(target), "runs");
+}
+
+bool allServed(const process_fleet &fleet)
+{
+    for (std::size_t vm = 0; vm < 4; ++vm) {
+        for (int i = 0; i < 24; ++i) {
+            const std::string key = "/lookup/k" + std::to_string(i);
+            if (fleet.get(vm, key, dojoKey).state() != "run") {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool startServing(process_fleet &fleet)
+{
+    return fleet.start()
+        && process_fleet::eventually(seconds(20), [&fleet] { return allServed(fleet); });
+}
+
+load::load_plan steadyLoad(const process_fleet &fleet, milliseconds duration)
+{
+    load::load_plan plan;
+    for (std::size_t vm = 0; vm < 4; ++vm) {
+        plan.vms.push_back(fleet.callerAddress(vm));
+    }
+    plan.streams = {{"keyed", dojoKey, "lookup", 150.0, false},
+                    {"any", dojoKey, "maps", 50.0, false}};
+    plan.keys = 200;
+    plan.duration = duration;
+    plan.deadline = milliseconds(5000);
+    return plan;
+}
+
+std::string describe(const std::map<std::string, load::stream_result> &results)
+{
+    std::string text;
+    for (const auto &[name, r] : results) {
+        text += name + ": " + std::to_string(r.good) + "/" + std::to_string(r.sent);
+        for (const auto &[reason, count] : r.refusals) {
+            text += " " + reason + "=" + std::to_string(count);
+        }
+        text += "; ";
+    }
+    return text;
+}
+
+bool everythingGood(const std::map<std::string, load::stream_result> &results)
+{
+    for (const auto &[name, r] : results) {
+        if (r.good != r.sent || r.sent == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+class process_operator_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(process_operator_test);
+    CPPUNIT_TEST(withdrawnKeyStopsEverywhere);
+    CPPUNIT_TEST(cutVmIsNamedAndLearnsFromPeers);
+    CPPUNIT_TEST(racingOperatorsNeverRevert);
+    CPPUNIT_TEST(drainedTargetGetsNoNewWork);
+    CPPUNIT_TEST(dataCenterOutAndIn);
+    CPPUNIT_TEST(rollingRestartCutsNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    void withdrawnKeyStopsEverywhere()
+    {
+        process_fleet fleet(operatorFleet(26000));
+        CPPUNIT_ASSERT(startServing(fleet));
+        // Open connections: each keeps asking over the same one.
+        std::vector<std::shared_ptr<web::http::client::http_client>> clients;
+        for (std::size_t vm = 0; vm < 4; ++vm) {
+            clients.push_back(makeHttpClient(fleet.callerAddress(vm), milliseconds(3000)));
+        }
+        const auto ask = [&clients](std::size_t vm) {
+            web::http::http_request request(web::http::methods::GET);
+            request.set_request_uri("/lookup/k1");
+            request.headers().add(header::apiKey, guestKey);
+            return static_cast<int>(clients[vm]->request(request).get().status_code());
+        };
+        for (std::size_t vm = 0; vm < 4; ++vm) {
+            CPPUNIT_ASSERT_EQUAL(200, ask(vm));
+        }
+        const std::string hash = toHex(hashSecret(guestKey));
+        const command_result done = fleet.ctl("--requester test withdraw-key " + hash);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(done.output, 0, done.exitCode);
+        // 'accepted' means in force everywhere: not even one more request.
+        for (std::size_t vm = 0; vm < 4; ++vm) {
+            CPPUNIT_ASSERT_EQUAL(401, ask(vm));
+        }
+    }
+
+    void cutVmIsNamedAndLearnsFromPeers()
+    {
+        process_fleet fleet(operatorFleet(26200));
+        CPPUNIT_ASSERT(startServing(fleet));
+        fleet.signal("b2", SIGSTOP); // It can acknowledge nothing.
+        const std::string hash = toHex(hashSecret(guestKey));
+        const command_result done =
+            fleet.ctl("--requester test --wait_ms 400 withdraw-key " + hash);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(done.output, 3, done.exitCode);
+        CPPUNIT_ASSERT(done.output.find("b2") != std::string::npos);
+        fleet.signal("b2", SIGCONT);
+        CPPUNIT_ASSERT(process_fleet::eventually(
+            seconds(10), [&] { return fleet.get(3, "/lookup/k1", guestKey).status == 401; }));
+        // A VM that only the platform does not answer hears of new rules from its peers.
+        fleet.behave("platform", R"({"cut":["a2"]})");
+        const command_result granted = fleet.ctl("--requester test --wait_ms 5000 grant-key guest "
+                                                 + toHex(hashSecret("guest-key-2")));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(granted.output, 0, granted.exitCode);
+        CPPUNIT_ASSERT_EQUAL(200, fleet.get(1, "/lookup/k1", "guest-key-2").status);
+    }
+
+    void racingOperatorsNeverRevert()
+    {
+        process_fleet fleet(operatorFleet(26400));
+        CPPUNIT_ASSERT(startServing(fleet));
+        fleet.behave("platform", R"({"lose_answers":0.3})");
+        std::vector<std::future<command_result>> operators;
+        for (int i = 0; i < 6; ++i) {
+            operators.push_back(std::async(std::launch::async, [&fleet, i] {
+                return fleet.ctl("--requester op" + std::to_string(i) + " grant-key dojo "
+                                 + toHex(hashSecret("raced-" + std::to_string(i))));
+            }));
+        }
+        std::vector<command_result> results;
+        for (auto &op : operators) {
+            results.push_back(op.get());
+        }
+        fleet.behave("platform", "{}");
+        const std::string rules = fleet.ctl("show").output;
+        int accepted = 0;
+        for (int i = 0; i < 6; ++i) {
+            const std::string hash = toHex(hashSecret("raced-" + std::to_string(i)));
+            const bool inForce = rules.find(hash) != std::string::npos;
+            const bool said = results[static_cast<std::size_t>(i)].exitCode == 0;
+            accepted += said ? 1 : 0;
+            CPPUNIT_ASSERT_MESSAGE("accepted, yet gone", !said || inForce);
+            for (std::size_t vm = 0; said && vm < 4; ++vm) {
+                CPPUNIT_ASSERT_EQUAL(
+                    200, fleet.get(vm, "/lookup/k1", "raced-" + std::to_string(i)).status);
+            }
+        }
+        CPPUNIT_ASSERT(accepted >= 1);
+        std::uint64_t version = 0;
+        CPPUNIT_ASSERT(process_fleet::eventually(seconds(10), [&] {
+            version = jsonUnsigned(fleet.status(0), "rules");
+            return version >= 2 && version == jsonUnsigned(fleet.status(3), "rules");
+        }));
+    }
+
+    /// Runs a load while an operator's command takes targets out of work.
+    void expectNoNewWork(process_fleet &fleet, const std::string &command,
+                         const std::vector<std::string> &targets)
+    {
+        load::open_loop loop(steadyLoad(fleet, milliseconds(7000)));
+        auto results = std::async(std::launch::async, [&loop] { return loop.run(); });
+        std::this_thread::sleep_for(seconds(1));
+        const command_result done = fleet.ctl("--requester test " + command);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(done.output, 0, done.exitCode);
+        std::this_thread::sleep_for(noNewWorkAfter);
+        std::map<std::string, std::uint64_t> before;
+        for (const std::string &target : targets) {
+            before[target] = runsAt(fleet, target);
+        }
+        const auto seen = results.get();
+        CPPUNIT_ASSERT_MESSAGE(describe(seen), everythingGood(seen));
+        for (const std::string &target : targets) {
+            CPPUNIT_ASSERT(before[target] > 0);
+            CPPUNIT_ASSERT_EQUAL(before[target], runsAt(fleet, target));
+        }
+    }
+
+    void drainedTargetGetsNoNewWork()
+    {
+        process_fleet fleet(operatorFleet(26600));
+        CPPUNIT_ASSERT(startServing(fleet));
+        expectNoNewWork(fleet, "drain lookup/l1", {"lookup/l1"});
+    }
+
+    void dataCenterOutAndIn()
+    {
+        process_fleet fleet(operatorFleet(26800));
+        CPPUNIT_ASSERT(startServing(fleet));
+        expectNoNewWork(fleet, "out b", {"lookup/l3", "lookup/l4", "maps/m2"});
+        const std::uint64_t before = runsAt(fleet, "lookup/l3");
+        const command_result back = fleet.ctl("--requester test in b");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(back.output, 0, back.exitCode);
+        CPPUNIT_ASSERT(process_fleet::eventually(
+            seconds(20), [&] { return allServed(fleet) && runsAt(fleet, "lookup/l3") > before; }));
+    }
+
+    void rollingRestartCutsNothing()
+    {
+        process_fleet fleet(operatorFleet(27000));
+        CPPUNIT_ASSERT(startServing(fleet));
+        load::open_loop loop(steadyLoad(fleet, milliseconds(16000)));
+        auto results = std::async(std::launch::async, [&loop] { return loop.run(); });
+        std::this_thread::sleep_for(milliseconds(500));
+        for (const char *vm : {"a1", "a2", "b1", "b2"}) {
+            fleet.signal(vm, SIGTERM);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.log(vm), 0, fleet.waitForEnd(vm, seconds(30)));
+            fleet.startProcess(vm);
+            const std::size_t index = std::string(vm) == "a1" ? 0
+                : std::string(vm) == "a2"                     ? 1
+                : std::string(vm) == "b1"                     ? 2
+                                                              : 3;
+            CPPUNIT_ASSERT(process_fleet::eventually(
+                seconds(20), [&] { return jsonBool(fleet.status(index), "authority"); }));
+        }
+        const auto seen = results.get();
+        CPPUNIT_ASSERT_MESSAGE(describe(seen), everythingGood(seen));
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(process_operator_test, "process_operator");
+CPPUNIT_REGISTRY_ADD_TO_DEFAULT("process_operator");
+
+} // namespace
--- /dev/null
+++ b/test/routing_test.cpp
@@ -0,0 +1,263 @@
+// The gate's queue, the choice among targets, retry budgets, votes, group commit and crash counts.
+
+#include "damaskward/Requests"
+#include "damaskward/Routing"
+#include "tools/standin/memory_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+
+namespace {
+
+using namespace damaskward;
+
+const time_point start{seconds(100)};
+
+target_id targetNamed(const std::string &name)
+{
+    return {service_id("s"), name};
+}
+
+class routing_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(routing_test);
+    CPPUNIT_TEST(queueKeepsToSlotsAgainstNaive);
+    CPPUNIT_TEST(teamsTakeTurns);
+    CPPUNIT_TEST(coldTargetGetsWhatItBears);
+    CPPUNIT_TEST(hopelessRequestsAreRefusedAtOnce);
+    CPPUNIT_TEST(closedQueueSendsNothing);
+    CPPUNIT_TEST(outlierIsKeptOut);
+    CPPUNIT_TEST(atMostHalfAreKeptOut);
+    CPPUNIT_TEST(retriesStayInTheirBudget);
+    CPPUNIT_TEST(quorumsAlwaysMeet);
+    CPPUNIT_TEST(votesAndPromisesExclude);
+    CPPUNIT_TEST(groupCommitAgainstNaive);
+    CPPUNIT_TEST(crashesAreCountedByFingerprint);
+    CPPUNIT_TEST_SUITE_END();
+
+    void queueKeepsToSlotsAgainstNaive()
+    {
+        // The naive version: a plain list per team, one step at a time.
+        std::mt19937_64 random(3);
+        gate_queue queue({3, 1, milliseconds(0)});
+        queue.setOpen(true);
+        queue.setBoot(1, start);
+        std::vector<request_number> naiveWaiting;
+        std::vector<request_number> running;
+        request_number next = 0;
+        for (int step = 0; step < 5000; ++step) {
+            const time_point now = start + milliseconds(step);
+            const int what = std::uniform_int_distribution<int>(0, 2)(random);
+            if (what == 0) {
+                const bool taken =
+                    queue.enqueue({++next, team_id("one"), now + seconds(1000)}, now);
+                if (taken) {
+                    naiveWaiting.push_back(next);
+                }
+            } else if (what == 1 && !running.empty()) {
+                queue.finish(running.front(), true, now);
+                running.erase(running.begin());
+            }
+            while (const auto number = queue.dispatch(now)) {
+                CPPUNIT_ASSERT_EQUAL(naiveWaiting.front(), *number);
+                naiveWaiting.erase(naiveWaiting.begin());
+                running.push_back(*number);
+            }
+            CPPUNIT_ASSERT(running.size() <= 3);
+            CPPUNIT_ASSERT(naiveWaiting.empty() || running.size() == 3);
+            CPPUNIT_ASSERT_EQUAL(naiveWaiting.size(), queue.waiting());
+        }
+    }
+
+    void teamsTakeTurns()
+    {
+        gate_queue queue({1, 1, milliseconds(0)});
+        queue.setOpen(true);
+        for (request_number n = 1; n <= 10; ++n) {
+            queue.enqueue({n, team_id("big"), start + seconds(9)}, start);
+        }
+        queue.enqueue({11, team_id("small"), start + seconds(9)}, start);
+        CPPUNIT_ASSERT_EQUAL(request_number{1}, queue.dispatch(start).value());
+        queue.finish(1, true, start);
+        CPPUNIT_ASSERT_EQUAL(request_number{11}, queue.dispatch(start).value());
+    }
+
+    void coldTargetGetsWhatItBears()
+    {
+        gate_queue queue({4, 1, milliseconds(500)});
+        queue.setOpen(true);
+        queue.setBoot(7, start);
+        for (request_number n = 1; n <= 10; ++n) {
+            queue.enqueue({n, team_id("t"), start + seconds(9)}, start);
+        }
+        CPPUNIT_ASSERT(queue.dispatch(start).has_value());
+        CPPUNIT_ASSERT(!queue.dispatch(start + milliseconds(499)).has_value());
+        const time_point warm = start + milliseconds(500);
+        CPPUNIT_ASSERT(queue.dispatch(warm).has_value());
+        queue.setRunningElsewhere(2); // Another gate's last requests take slots too.
+        CPPUNIT_ASSERT(!queue.dispatch(warm).has_value());
+        queue.setRunningElsewhere(0);
+        queue.setBoot(8, warm); // It has started again.
+        CPPUNIT_ASSERT(!queue.dispatch(warm).has_value());
+    }
+
+    void hopelessRequestsAreRefusedAtOnce()
+    {
+        gate_queue queue({1, 1, milliseconds(0)});
+        queue.setOpen(true);
+        queue.enqueue({1, team_id("t"), start + seconds(9)}, start);
+        queue.dispatch(start);
+        queue.finish(1, true, start + milliseconds(100)); // It takes 100 ms.
+        const time_point now = start + milliseconds(100);
+        CPPUNIT_ASSERT(!queue.enqueue({2, team_id("t"), now + milliseconds(90)}, now));
+        CPPUNIT_ASSERT(queue.enqueue({3, team_id("t"), now + milliseconds(110)}, now));
+        CPPUNIT_ASSERT(!queue.enqueue({4, team_id("t"), now + milliseconds(110)}, now));
+        const auto late = queue.expire(now + milliseconds(110));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.waiting());
+        CPPUNIT_ASSERT(!queue.dispatch(now + milliseconds(111)).has_value());
+    }
+
+    void closedQueueSendsNothing()
+    {
+        gate_queue queue({2, 2, milliseconds(0)});
+        CPPUNIT_ASSERT(queue.enqueue({1, team_id("t"), start + seconds(9)}, start));
+        CPPUNIT_ASSERT(!queue.dispatch(start).has_value());
+        CPPUNIT_ASSERT(queue.cancel(1));
+        CPPUNIT_ASSERT(!queue.cancel(1));
+        queue.enqueue({2, team_id("t"), start + seconds(9)}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.drainAll().size());
+        queue.setOpen(true);
+        CPPUNIT_ASSERT(!queue.dispatch(start).has_value());
+    }
+
+    void outlierIsKeptOut()
+    {
+        target_chooser chooser;
+        std::vector<target_id> all;
+        for (int i = 0; i < 6; ++i) {
+            all.push_back(targetNamed("t" + std::to_string(i)));
+        }
+        for (int round = 0; round < 10; ++round) {
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                chooser.started(all[i]);
+                chooser.ended(all[i], milliseconds(i == 2 ? 100 : 5), start);
+            }
+        }
+        CPPUNIT_ASSERT(chooser.isEjected(all[2], start));
+        for (int i = 0; i < 100; ++i) {
+            CPPUNIT_ASSERT(*chooser.choose(all, std::nullopt, start) != all[2]);
+        }
+        CPPUNIT_ASSERT(!chooser.isEjected(all[2], start + seconds(2)));
+    }
+
+    void atMostHalfAreKeptOut()
+    {
+        target_chooser chooser;
+        std::mt19937_64 random(5);
+        std::vector<target_id> all;
+        for (int i = 0; i < 6; ++i) {
+            all.push_back(targetNamed("t" + std::to_string(i)));
+        }
+        for (int i = 0; i < 2000; ++i) {
+            const target_id &t = all[static_cast<std::size_t>(i) % all.size()];
+            chooser.started(t);
+            chooser.ended(t, milliseconds(std::uniform_int_distribution<int>(1, 500)(random)),
+                          start);
+            const auto out = std::count_if(all.begin(), all.end(), [&](const target_id &each) {
+                return chooser.isEjected(each, start);
+            });
+            CPPUNIT_ASSERT(out <= 3);
+            CPPUNIT_ASSERT(chooser.choose(all, t, start).has_value());
+        }
+    }
+
+    void retriesStayInTheirBudget()
+    {
+        retry_budget budget(0.1, 5.0);
+        int retries = 0;
+        for (int i = 0; i < 10000; ++i) {
+            budget.earn();
+            retries += budget.trySpend() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(retries <= 10000 / 10 + 5);
+        CPPUNIT_ASSERT(retries >= 900);
+    }
+
+    void quorumsAlwaysMeet()
+    {
+        for (std::size_t n = 1; n <= 60; ++n) {
+            CPPUNIT_ASSERT(promiseQuorum(n) + lapseQuorum(n) > n);
+            CPPUNIT_ASSERT(lapseQuorum(n) < n || n == 1);
+        }
+        CPPUNIT_ASSERT(promiseQuorum(1) > 1); // A lone VM may not hold over.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lapseQuorum(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, lapseQuorum(4));
+    }
+
+    void votesAndPromisesExclude()
+    {
+        vote_book book;
+        const vm_id vm("x");
+        CPPUNIT_ASSERT(book.tryPromise(vm, 5, start + seconds(1)));
+        CPPUNIT_ASSERT(!book.tryApprove(vm, 5, start + seconds(1)));
+        CPPUNIT_ASSERT(book.tryApprove(vm, 5, start + seconds(1) + nanoseconds(1)));
+        CPPUNIT_ASSERT(!book.tryPromise(vm, 5, start + seconds(3)));
+        CPPUNIT_ASSERT(!book.tryPromise(vm, 4, start + seconds(3)));
+        CPPUNIT_ASSERT(book.tryPromise(vm, 6, start + seconds(3)));
+    }
+
+    void groupCommitAgainstNaive()
+    {
+        // The naive version writes one row after the other; both must end with the same rows.
+        std::mt19937_64 random(11);
+        for (int round = 0; round < 200; ++round) {
+            standin::memory_table grouped;
+            standin::memory_table naive;
+            group_committer committer;
+            std::vector<pending_write> writes;
+            for (std::uint64_t ticket = 1; ticket <= 20; ++ticket) {
+                const std::string row =
+                    "row-" + std::to_string(std::uniform_int_distribution<int>(0, 8)(random));
+                writes.push_back({ticket, row, 0, "by " + std::to_string(ticket)});
+                committer.add(writes.back());
+            }
+            std::map<std::uint64_t, write_outcome> outcomes;
+            while (const auto transaction = committer.next()) {
+                for (const finished_write &w : committer.finish(grouped.commit(*transaction))) {
+                    outcomes[w.ticket] = w.outcome;
+                }
+            }
+            for (const pending_write &w : writes) {
+                table_transaction one;
+                one.replace(w.rowName, w.expected, w.value);
+                const bool applied = naive.commit(one).outcome == commit_outcome::Applied;
+                CPPUNIT_ASSERT(outcomes.at(w.ticket)
+                               == (applied ? write_outcome::Applied : write_outcome::Conflict));
+            }
+            for (const auto &[name, row] : naive.rows()) {
+                CPPUNIT_ASSERT_EQUAL(row.value, grouped.rows().at(name).value);
+            }
+        }
+    }
+
+    void crashesAreCountedByFingerprint()
+    {
+        crash_book book;
+        CPPUNIT_ASSERT(!book.noteCrash(1, start));
+        CPPUNIT_ASSERT(!book.isQuarantined(1, start));
+        book.noteServed(1); // It only ran beside the culprit.
+        CPPUNIT_ASSERT(!book.noteCrash(1, start));
+        CPPUNIT_ASSERT(book.noteCrash(1, start));
+        CPPUNIT_ASSERT(book.isQuarantined(1, start));
+        CPPUNIT_ASSERT(!book.isQuarantined(2, start));
+        CPPUNIT_ASSERT(!book.isQuarantined(1, start + quarantineTime));
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(routing_test, "routing");
+CPPUNIT_REGISTRY_ADD_TO_DEFAULT("routing");
+
+} // namespace
--- a/test/support/process_fleet.cpp
+++ b/test/support/process_fleet.cpp
@@ -25,6 +25,14 @@
 constexpr milliseconds pollPeriod{10};
 constexpr seconds startLimit{20};
 
+/// \returns where the programs are; the environment may name another build, such as one with
+/// sanitizers.
+std::string binFolder()
+{
+    const char *other = std::getenv("DAMASKWARD_BIN");
+    return other == nullptr ? DAMASKWARD_BIN : other;
+}
+
 std::string lowerCase(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -158,7 +166,7 @@
 
 std::vector<std::string> process_fleet::commandOf(const std::string &name) const
 {
-    const std::string bin = DAMASKWARD_BIN;
+    const std::string bin = binFolder();
     if (name == platformProcess) {
         return {bin + "/damaskward-platform-standin", "--address",
                 "127.0.0.1:" + std::to_string(m_options.portBase)};
@@ -332,8 +340,8 @@
 
 command_result process_fleet::ctl(const std::string &arguments) const
 {
-    const std::string command = "DAMASKWARD_SECRET=" + std::string(fleetSecret) + " "
-        + DAMASKWARD_BIN + "/damaskctl --platform " + platformUrl() + " " + arguments + " 2>&1";
+    const std::string command = "DAMASKWARD_SECRET=" + std::string(fleetSecret) + " " + binFolder()
+        + "/damaskctl --platform " + platformUrl() + " " + arguments + " 2>&1";
     command_result result;
     FILE *pipe = popen(command.c_str(), "r");
     std::array<char, 4096> buffer{};
