--- a/bench/recovery.cpp
+++ b/bench/recovery.cpp
@@ -86,18 +86,6 @@
     return *std::max_element(servedAfter.begin(), servedAfter.end());
 }
 
-/// \returns the VM that is the gate of \a target, asked at the VM at index \a vm.
-std::string gateOf(const process_fleet &fleet, std::size_t vm, const std::string &target)
-{
-    const Json::Value own = fleet.status(vm);
-    for (const Json::Value &entry : own["targets"]) {
-        if (jsonText(entry, "target") == target) {
-            return jsonText(entry, "gate");
-        }
-    }
-    return "";
-}
-
 duration loseOnce(process_fleet &fleet, const std::string &kind, std::mt19937_64 &random)
 {
     process_fleet::eventually(patience, [&fleet] { return allServed(fleet, 0); });
@@ -109,7 +97,7 @@
     std::string gate;
     for (int i = 1; i <= 6 && (gate.empty() || gate == "a1"); ++i) {
         target = "lookup/l" + std::to_string(i);
-        gate = gateOf(fleet, 0, target);
+        gate = fleet.gateOf(0, target);
     }
     const int signal = kind.find("frozen") == std::string::npos ? SIGKILL : SIGSTOP;
     const bool loseVm = kind.rfind("vm", 0) == 0 || kind == "both";
--- a/src/Daemon/entry_call.h
+++ b/src/Daemon/entry_call.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "control_view.h"
 #include "forwarding.h"
 
 #include <cpprest/http_msg.h>
@@ -29,6 +30,7 @@
     web::http::http_request message;
     time_point arrivedAt;
     time_point deadline;
+    std::shared_ptr<const control_view> view; ///< the picture at its arrival
     service_id service;
     std::string key;
     team_id team;
--- a/src/Daemon/entry_front.cpp
+++ b/src/Daemon/entry_front.cpp
@@ -1,3 +1,5 @@
+// Long because the whole way of one request, from its arrival to its answer, is read here in order.
+
 #include "entry_front.h"
 
 #include "../Hashing/key_hash.h"
@@ -81,7 +83,8 @@
         return;
     }
     std::string_view reason;
-    int status = checkCaller(message, *m_parts.views.get(), *call, reason);
+    call->view = m_parts.views.get();
+    int status = checkCaller(message, *call->view, *call, reason);
     if (status == 0) {
         status = checkMessage(message, *call, reason);
     }
@@ -157,13 +160,14 @@
 
 void entry_front::admit(const call_ptr &call)
 {
-    m_parts.teams.admit(call->team, call->deadline, [this, call](std::string_view reason) {
-        if (reason.empty()) {
-            readBody(call);
-        } else {
-            refuse(call, reason == refusal::limit ? 429 : 503, reason);
-        }
-    });
+    m_parts.teams.admit(*call->view, call->team, call->deadline,
+                        [this, call](std::string_view reason) {
+                            if (reason.empty()) {
+                                readBody(call);
+                            } else {
+                                refuse(call, reason == refusal::limit ? 429 : 503, reason);
+                            }
+                        });
 }
 
 void entry_front::readBody(const call_ptr &call)
@@ -474,7 +478,8 @@
     outcome.reason = answer.reason;
     outcome.state = answer.state;
     outcome.latency = mono_clock::now() - call.arrivedAt;
-    const std::shared_ptr<const control_view> view = m_parts.views.get();
+    const std::shared_ptr<const control_view> view =
+        call.view != nullptr ? call.view : m_parts.views.get();
     const auto objective = view->objectives.find(call.service);
     const bool inTime = objective == view->objectives.end()
         || outcome.latency <= milliseconds(objective->second.latencyMillis);
--- a/src/Daemon/gate_front.cpp
+++ b/src/Daemon/gate_front.cpp
@@ -31,7 +31,7 @@
 } // namespace internal
 
 gate_front::gate::gate(const gate_info &held)
-    : info(held)
+    : info(std::make_shared<const gate_info>(held))
     , queue(held.limits)
     , exchange(std::make_unique<target_exchange>(held.address))
 { }
@@ -68,7 +68,8 @@
         const std::unique_lock lock(m_gatesMutex);
         for (const gate_info &info : view.gates) {
             const auto known = m_gates.find(info.target);
-            const bool same = known != m_gates.end() && known->second->info.address == info.address;
+            const bool same =
+                known != m_gates.end() && known->second->info->address == info.address;
             held[info.target] = same ? known->second : std::make_shared<gate>(info);
         }
         for (const auto &[target, g] : m_gates) {
@@ -83,7 +84,7 @@
         const std::shared_ptr<gate> &g = held[info.target];
         {
             const std::lock_guard lock(g->mutex);
-            g->info = info;
+            g->info = std::make_shared<const gate_info>(info);
             g->queue.setLimits(info.limits);
             g->queue.setOpen(info.open);
             g->queue.setBoot(info.boot, now);
@@ -109,10 +110,10 @@
 
 std::string_view gate_front::whyRefused(const gate &g, const forward_request &request) const
 {
-    if (g.info.authority <= mono_clock::now() && g.info.open) {
+    if (g.info->authority <= mono_clock::now() && g.info->open) {
         return refusal::notGate;
     }
-    if (request.shard && g.info.epochs.count(*request.shard) == 0) {
+    if (request.shard && g.info->epochs.count(*request.shard) == 0) {
         return refusal::notOwner;
     }
     if (m_crashes.isQuarantined(request.fingerprint)) {
@@ -159,7 +160,7 @@
     {
         const std::lock_guard lock(g->mutex);
         const time_point now = mono_clock::now();
-        if (now >= g->info.authority) {
+        if (now >= g->info->authority) {
             return;
         }
         while (const std::optional<request_number> number = g->queue.dispatch(now)) {
@@ -181,8 +182,8 @@
 {
     const forward_request &request = *d->what->request;
     if (request.shard) {
-        const auto granted = d->info.epochs.find(*request.shard);
-        if (granted == d->info.epochs.end()) {
+        const auto granted = d->info->epochs.find(*request.shard);
+        if (granted == d->info->epochs.end()) {
             finish(d, false, makeRefused(503, run_state::NotRun, refusal::notOwner));
             return;
         }
@@ -211,7 +212,7 @@
     case intent_outcome::kind::Recorded:
         d->intentVersion = outcome.version;
         // The row may have taken long; the grant and the request must still be good.
-        if (mono_clock::now() >= std::min(d->info.authority, d->what->request->deadline)) {
+        if (mono_clock::now() >= std::min(d->info->authority, d->what->request->deadline)) {
             answerNotRun(d, refusal::deadline);
             return;
         }
@@ -228,7 +229,7 @@
 
 void gate_front::send(const dispatched_ptr &d)
 {
-    d->at->exchange->send(*d->what->request, d->info, d->what->epoch, d->what->cancel.get_token(),
+    d->at->exchange->send(*d->what->request, *d->info, d->what->epoch, d->what->cancel.get_token(),
                           [this, d](const exchange_outcome &outcome) { onExchange(d, outcome); });
 }
 
@@ -244,7 +245,7 @@
         answerNotRun(d, outcome.reason);
         return;
     case exchange_outcome::kind::TargetLost:
-        m_crashes.noteCrash(d->what->request->fingerprint, d->info.target);
+        m_crashes.noteCrash(d->what->request->fingerprint, d->info->target);
         answerDoubt(d, outcome);
         return;
     case exchange_outcome::kind::TimedOut:
@@ -262,7 +263,7 @@
     answer.body = outcome.body;
     answer.state = run_state::Run;
     answer.epoch = d->what->epoch;
-    answer.owner = d->info.target.str();
+    answer.owner = d->info->target.str();
     if (d->what->request->idempotent || outcome.body->size() > internal::maxRecordedBody) {
         finish(d, true, answer);
         return;
@@ -272,7 +273,7 @@
     row.status = outcome.status;
     row.contentType = outcome.contentType;
     row.body = utility::conversions::to_base64(*outcome.body);
-    row.owner = d->info.target.str();
+    row.owner = d->info->target.str();
     m_intents->complete(d->intentName, d->intentVersion, row,
                         [this, d, answer] { finish(d, true, answer); });
 }
--- a/src/Daemon/gate_front.h
+++ b/src/Daemon/gate_front.h
@@ -58,7 +58,7 @@
     struct gate
     {
         std::mutex mutex;
-        gate_info info;
+        std::shared_ptr<const gate_info> info; ///< replaced as a whole by the control thread
         gate_queue queue;
         std::map<request_number, std::shared_ptr<pending>> requests;
         std::unique_ptr<target_exchange> exchange;
@@ -71,7 +71,7 @@
         std::shared_ptr<gate> at;
         request_number number = 0;
         std::shared_ptr<pending> what;
-        gate_info info; ///< as it was when the slot was given
+        std::shared_ptr<const gate_info> info; ///< as it was when the slot was given
         row_version intentVersion = 0;
         std::string intentName;
         intent_row intent;
--- a/src/Daemon/team_front.cpp
+++ b/src/Daemon/team_front.cpp
@@ -31,10 +31,10 @@
     return known;
 }
 
-void team_front::admit(const team_id &team, time_point deadline, const admit_callback &done)
+void team_front::admit(const control_view &view, const team_id &team, time_point deadline,
+                       const admit_callback &done)
 {
-    const std::shared_ptr<const control_view> view = m_views.get();
-    if (view->banks.count(team) == 0) {
+    if (view.banks.count(team) == 0) {
         done({}); // No rule limits this team.
         return;
     }
--- a/src/Daemon/team_front.h
+++ b/src/Daemon/team_front.h
@@ -23,7 +23,7 @@
 /// \brief Admits requests against their team's limit. Thread-safe.
 ///
 /// \code
-/// teams.admit(team, deadline, [](std::string_view refusal) { ... });
+/// teams.admit(*view, team, deadline, [](std::string_view refusal) { ... });
 /// \endcode
 /// \sa team_account, team_bank
 class team_front
@@ -36,7 +36,9 @@
     team_front(const vm_id &self, peer_directory &peers, const snapshot<control_view> &views);
 
     /// Spends one token of \a team, now or when tokens have been drawn.
-    void admit(const team_id &team, time_point deadline, const admit_callback &done);
+    /// \param view the picture that the request is served by
+    void admit(const control_view &view, const team_id &team, time_point deadline,
+               const admit_callback &done);
     /// Hands out tokens as the team's bank in this data centre.
     draw_answer draw(const team_id &team, const draw_request &request);
     /// Refuses what has waited too long and draws again for the rest.
--- a/src/Ownership/gate_keeper.cpp
+++ b/src/Ownership/gate_keeper.cpp
@@ -21,6 +21,8 @@
 gate_keeper::gate_keeper(const ownership_config &config, platform_route &route)
     : m_config(config)
     , m_route(route)
+    , m_statusLane(route)
+    , m_shardLane(route)
 { }
 
 const target_lease *gate_keeper::lease(const target_id &target) const
@@ -190,8 +192,7 @@
     if (transaction.empty()) {
         return;
     }
-    m_statusWay = m_route.way(context.now);
-    m_statusLane.start(std::move(transaction), ++nextId, context.now, actions, m_statusWay);
+    m_statusLane.start(std::move(transaction), ++nextId, context.now, actions);
 }
 
 void gate_keeper::addMoves(const gate_context &context, const target_id &target,
@@ -258,18 +259,13 @@
             m_unresolved[*shard] = check.version;
         }
     }
-    m_shardWay = m_route.way(context.now);
-    m_shardLane.start(std::move(transaction), ++nextId, context.now, actions, m_shardWay);
+    m_shardLane.start(std::move(transaction), ++nextId, context.now, actions);
 }
 
 void gate_keeper::step(const gate_context &context, operation_id &nextId, action_list &actions)
 {
-    if (m_statusLane.expire(context.now)) {
-        m_route.failed(m_statusWay);
-    }
-    if (m_shardLane.expire(context.now)) {
-        m_route.failed(m_shardWay);
-    }
+    m_statusLane.expire(context.now);
+    m_shardLane.expire(context.now);
     syncGates(context);
     indexShards(context.mirror);
     forgetSettledMoves(context.mirror);
@@ -287,24 +283,7 @@
 
 bool gate_keeper::handle(const commit_done &event, table_mirror &mirror, time_point now)
 {
-    auto done = m_statusLane.finish(event);
-    vm_id way = m_statusWay;
-    if (!done) {
-        done = m_shardLane.finish(event);
-        way = m_shardWay;
-    }
-    if (!done) {
-        return false;
-    }
-    if (done->answer.outcome == commit_outcome::Unknown) {
-        m_route.failed(way);
-        return true;
-    }
-    m_route.succeeded(way, now);
-    if (done->answer.outcome == commit_outcome::Applied) {
-        mirror.applyOwn(done->transaction, done->answer.revision, now);
-    }
-    return true;
+    return m_statusLane.settle(event, mirror, now) || m_shardLane.settle(event, mirror, now);
 }
 
 void gate_keeper::handle(const grant_done &event, time_point now)
--- a/src/Ownership/gate_keeper.h
+++ b/src/Ownership/gate_keeper.h
@@ -85,8 +85,6 @@
     platform_route &m_route;
     table_lane m_statusLane;
     table_lane m_shardLane;
-    vm_id m_statusWay;
-    vm_id m_shardWay;
     std::map<target_id, held_gate> m_gates;
     std::map<target_id, std::vector<shard_id>> m_shardsOf;
     std::uint64_t m_indexedChanges = 0;
--- a/src/Ownership/lapse_keeper.cpp
+++ b/src/Ownership/lapse_keeper.cpp
@@ -15,6 +15,7 @@
     : m_config(config)
     , m_route(route)
     , m_votes(votes)
+    , m_lane(route)
 { }
 
 bool lapse_keeper::outlastsFormer(time_point now) const
@@ -80,17 +81,14 @@
     row.state = session_state::Lapsed;
     table_transaction transaction;
     transaction.replace(sessionName(suspect), seen.version, encode(row));
-    m_way = m_route.way(now);
-    m_lane.start(std::move(transaction), ++nextId, now, actions, m_way);
+    m_lane.start(std::move(transaction), ++nextId, now, actions);
 }
 
 void lapse_keeper::step(const table_mirror &mirror, std::uint64_t ownTerm, operation_id &nextId,
                         time_point now, action_list &actions)
 {
     m_startedAt = m_startedAt.value_or(now);
-    if (m_lane.expire(now)) {
-        m_route.failed(m_way);
-    }
+    m_lane.expire(now);
     if (!m_route.reaches(now)) {
         return;
     }
@@ -114,23 +112,6 @@
     }
 }
 
-bool lapse_keeper::handle(const commit_done &event, table_mirror &mirror, time_point now)
-{
-    const auto done = m_lane.finish(event);
-    if (!done) {
-        return false;
-    }
-    if (done->answer.outcome == commit_outcome::Unknown) {
-        m_route.failed(m_way);
-        return true;
-    }
-    m_route.succeeded(m_way, now);
-    if (done->answer.outcome == commit_outcome::Applied) {
-        mirror.applyOwn(done->transaction, done->answer.revision, now);
-    }
-    return true;
-}
-
 void lapse_keeper::handle(const vote_answered &event)
 {
     const auto asked = m_asked.find(event.id);
--- a/src/Ownership/lapse_keeper.h
+++ b/src/Ownership/lapse_keeper.h
@@ -37,7 +37,10 @@
     void step(const table_mirror &mirror, std::uint64_t ownTerm, operation_id &nextId,
               time_point now, action_list &actions);
     /// \returns whether the answer was this keeper's; then the table should be read at once.
-    bool handle(const commit_done &event, table_mirror &mirror, time_point now);
+    bool handle(const commit_done &event, table_mirror &mirror, time_point now)
+    {
+        return m_lane.settle(event, mirror, now);
+    }
     void handle(const vote_answered &event);
 
 private:
@@ -67,7 +70,6 @@
     platform_route &m_route;
     vote_book &m_votes;
     table_lane m_lane;
-    vm_id m_way;
     std::optional<time_point> m_startedAt;
     std::map<vm_id, suspicion> m_suspicions;
     std::map<operation_id, asked_vote> m_asked;
--- a/src/Ownership/role_keeper.cpp
+++ b/src/Ownership/role_keeper.cpp
@@ -13,6 +13,7 @@
 role_keeper::role_keeper(const ownership_config &config, platform_route &route)
     : m_config(config)
     , m_route(route)
+    , m_lane(route)
 { }
 
 std::vector<std::string> role_keeper::wantedRoles(const rule_set &rules) const
@@ -124,9 +125,7 @@
 void role_keeper::step(const table_mirror &mirror, const rule_set &rules, std::uint64_t ownTerm,
                        bool stopping, operation_id &nextId, time_point now, action_list &actions)
 {
-    if (m_lane.expire(now)) {
-        m_route.failed(m_way);
-    }
+    m_lane.expire(now);
     forgetSettledHandovers(mirror);
     if (!m_lane.idle() || !m_route.reaches(now)) {
         return;
@@ -141,25 +140,7 @@
     if (transaction.empty()) {
         return;
     }
-    m_way = m_route.way(now);
-    m_lane.start(std::move(transaction), ++nextId, now, actions, m_way);
-}
-
-bool role_keeper::handle(const commit_done &event, table_mirror &mirror, time_point now)
-{
-    const auto done = m_lane.finish(event);
-    if (!done) {
-        return false;
-    }
-    if (done->answer.outcome == commit_outcome::Unknown) {
-        m_route.failed(m_way);
-        return true;
-    }
-    m_route.succeeded(m_way, now);
-    if (done->answer.outcome == commit_outcome::Applied) {
-        mirror.applyOwn(done->transaction, done->answer.revision, now);
-    }
-    return true;
+    m_lane.start(std::move(transaction), ++nextId, now, actions);
 }
 
 bool role_keeper::takenFromLapsed(const std::string &rowName, std::uint64_t term) const
--- a/src/Ownership/role_keeper.h
+++ b/src/Ownership/role_keeper.h
@@ -32,7 +32,10 @@
     void step(const table_mirror &mirror, const rule_set &rules, std::uint64_t ownTerm,
               bool stopping, operation_id &nextId, time_point now, action_list &actions);
     /// \returns whether the answer was this keeper's.
-    bool handle(const commit_done &event, table_mirror &mirror, time_point now);
+    bool handle(const commit_done &event, table_mirror &mirror, time_point now)
+    {
+        return m_lane.settle(event, mirror, now);
+    }
 
     /// \returns whether the incarnation \a ownTerm of this VM holds the role of \a row.
     bool isMine(const role_row &row, std::uint64_t ownTerm) const
@@ -64,7 +67,6 @@
     ownership_config m_config;
     platform_route &m_route;
     table_lane m_lane;
-    vm_id m_way;
     std::map<std::string, std::uint64_t> m_fromLapsed; ///< role row -> the term claimed
     std::map<std::string, time_point> m_misplacedSince;
     std::map<std::string, row_version> m_handing; ///< role row -> the version being replaced
--- a/src/Ownership/session_keeper.cpp
+++ b/src/Ownership/session_keeper.cpp
@@ -8,6 +8,7 @@
 session_keeper::session_keeper(const ownership_config &config, platform_route &route)
     : m_config(config)
     , m_route(route)
+    , m_lane(route)
 { }
 
 time_point session_keeper::authority() const
@@ -136,8 +137,7 @@
     m_renewAt = now + m_config.timing.renewEvery;
     table_transaction transaction;
     transaction.replace(sessionName(m_config.self), m_pending->base, encode(m_pending->row));
-    m_way = m_route.way(now);
-    m_lane.start(std::move(transaction), ++nextId, now, actions, m_way);
+    m_lane.start(std::move(transaction), ++nextId, now, actions);
 }
 
 void session_keeper::askPromises(operation_id &nextId, time_point now, action_list &actions)
@@ -190,7 +190,6 @@
 {
     switch (done.answer.outcome) {
     case commit_outcome::Applied:
-        m_route.succeeded(m_way, now);
         if (m_pending) {
             settle({m_pending->row, done.answer.revision}, done.startedAt);
             m_renewAt = std::min(m_renewAt, done.startedAt + m_config.timing.renewEvery);
@@ -200,10 +199,8 @@
         break;
     case commit_outcome::Conflict:
         // The next reading tells whether an earlier attempt was applied or the session is lost.
-        m_route.succeeded(m_way, now);
         break;
     case commit_outcome::Unknown:
-        m_route.failed(m_way);
         m_renewAt = now;
         break;
     }
@@ -211,7 +208,7 @@
 
 bool session_keeper::handle(const commit_done &event, time_point now)
 {
-    const auto done = m_lane.finish(event);
+    const auto done = m_lane.finish(event, now);
     if (!done) {
         return false;
     }
--- a/src/Ownership/session_keeper.h
+++ b/src/Ownership/session_keeper.h
@@ -90,7 +90,6 @@
     table_lane m_lane;
     std::optional<written_row> m_applied; ///< the last row of this incarnation known to be written
     std::optional<pending_row> m_pending; ///< sent, its outcome not yet known
-    vm_id m_way;
     time_point m_tableAuthority{};
     time_point m_renewAt{};
     time_point m_askAt{};
--- a/src/Rules/rule_parser.cpp
+++ b/src/Rules/rule_parser.cpp
@@ -1,3 +1,5 @@
+// Long because the forms of all eleven kinds of rule stand side by side here.
+
 #include "rule_parser.h"
 
 #include "rule_line.h"
--- a/test/process_once_test.cpp
+++ b/test/process_once_test.cpp
@@ -38,17 +38,6 @@
     return runs;
 }
 
-std::string gateOf(const process_fleet &fleet, std::size_t vm, const std::string &target)
-{
-    const Json::Value own = fleet.status(vm);
-    for (const Json::Value &entry : own["targets"]) {
-        if (jsonText(entry, "target") == target) {
-            return jsonText(entry, "gate");
-        }
-    }
-    return "";
-}
-
 class process_once_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(process_once_test);
@@ -106,7 +95,7 @@
         CPPUNIT_ASSERT(
             process_fleet::eventually(seconds(10), [&] { return runsOf(fleet, "cut-1") == 1; }));
         const bool atOne = fleet.records("promotion/p1")["runs"].asUInt64() == 1;
-        const std::string gate = gateOf(fleet, 0, atOne ? "promotion/p1" : "promotion/p2");
+        const std::string gate = fleet.gateOf(0, atOne ? "promotion/p1" : "promotion/p2");
         fleet.kill(gate);
         CPPUNIT_ASSERT(first.get().state() != "not-run");
         const std::size_t other = gate == "a2" ? 2 : 1;
--- a/test/process_path_test.cpp
+++ b/test/process_path_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(lostTargetsKeysMove);
     CPPUNIT_TEST(servesThroughAPlatformOutage);
     CPPUNIT_TEST(badSettingsExitWithTwo);
+    CPPUNIT_TEST(badCommandsExitWithTwo);
     CPPUNIT_TEST_SUITE_END();
 
     void oneOwnerWhicheverVmIsAsked()
@@ -199,6 +200,28 @@
         CPPUNIT_ASSERT_EQUAL(1U, static_cast<unsigned>(jsonUnsigned(fleet.status(0), "term")));
     }
 
+    void badCommandsExitWithTwo()
+    {
+        process_fleet fleet(smallFleet(22400));
+        CPPUNIT_ASSERT(fleet.start());
+        const std::string before = fleet.ctl("show").output;
+        const command_result bad =
+            fleet.ctl("apply " + fleet.writeFile("bad.txt", "team x\nlimit y rate=1 # z\n"));
+        CPPUNIT_ASSERT_EQUAL(2, bad.exitCode);
+        CPPUNIT_ASSERT(bad.output.find("bad.txt:1: comment") != std::string::npos);
+        CPPUNIT_ASSERT(bad.output.find("bad.txt:2: burst") != std::string::npos);
+        const command_result owner =
+            fleet.ctl("apply " + fleet.writeFile("gone.txt", "data-center a share=1 # z\n"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(owner.output, 2, owner.exitCode);
+        CPPUNIT_ASSERT(owner.output.find("still owns keys") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(2, fleet.ctl("declare-lost a1").exitCode);
+        CPPUNIT_ASSERT_EQUAL(2, fleet.ctl("dance").exitCode);
+        CPPUNIT_ASSERT_EQUAL(before, fleet.ctl("show").output);
+        CPPUNIT_ASSERT_EQUAL(0, fleet.ctl("status").exitCode);
+        CPPUNIT_ASSERT_EQUAL(0, fleet.ctl("burn").exitCode);
+        CPPUNIT_ASSERT(fleet.ctl("limits").output.find("dojo rate=10000") != std::string::npos);
+    }
+
     void badSettingsExitWithTwo()
     {
         process_fleet fleet(smallFleet(22200));
--- a/test/support/ownership_world.cpp
+++ b/test/support/ownership_world.cpp
@@ -1,3 +1,5 @@
+// Long because every fake and every fault of one schedule stands here, to be read together.
+
 #include "ownership_world.h"
 
 #include <algorithm>
--- a/test/support/process_fleet.cpp
+++ b/test/support/process_fleet.cpp
@@ -345,6 +345,17 @@
     return readJsonObject(askAdmin(vm, "/status").body).value_or(Json::Value());
 }
 
+std::string process_fleet::gateOf(std::size_t vm, const std::string &target) const
+{
+    const Json::Value own = status(vm);
+    for (const Json::Value &entry : own["targets"]) {
+        if (jsonText(entry, "target") == target) {
+            return jsonText(entry, "gate");
+        }
+    }
+    return "";
+}
+
 std::string process_fleet::metricsText(std::size_t vm) const
 {
     return askAdmin(vm, "/metrics").body;
--- a/test/support/process_fleet.h
+++ b/test/support/process_fleet.h
@@ -114,6 +114,8 @@
     Json::Value platformCounts() const;
     /// \returns a VM's own status.
     Json::Value status(std::size_t vm) const;
+    /// \returns the VM that is the gate of \a target, asked at the VM at index \a vm.
+    std::string gateOf(std::size_t vm, const std::string &target) const;
     /// \returns a VM's metrics in Prometheus' text format.
     std::string metricsText(std::size_t vm) const;
     /// \returns the id of a process of the fleet, 0 when it does not run.
--- a/tools/standin/platform_standin.cpp
+++ b/tools/standin/platform_standin.cpp
@@ -5,6 +5,7 @@
 #include "damaskward/Transport"
 #include "memory_table.h"
 #include "tools/common/process.h"
+#include "with_body.h"
 
 #include <gflags/gflags.h>
 
@@ -55,15 +56,10 @@
         : m_random(seed)
     { }
 
-    void handle(http_request request)
+    void handle(const http_request &request)
     {
-        request.extract_utf8string(true).then([this, request](const pplx::task<std::string> &body) {
-            try {
-                dispatch(request, body.get());
-            } catch (const std::exception &e) {
-                sendReply(request, makeJson(status_codes::BadRequest, e.what()));
-            }
-        });
+        withBody(request,
+                 [this](const http_request &r, const std::string &body) { dispatch(r, body); });
     }
 
 private:
--- a/tools/standin/target_standin.cpp
+++ b/tools/standin/target_standin.cpp
@@ -7,6 +7,7 @@
 #include "target_behaviour.h"
 #include "target_state.h"
 #include "tools/common/process.h"
+#include "with_body.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
@@ -61,15 +62,10 @@
         , m_random(FLAGS_seed)
     { }
 
-    void handle(http_request request)
+    void handle(const http_request &request)
     {
-        request.extract_utf8string(true).then([this, request](const pplx::task<std::string> &body) {
-            try {
-                dispatch(request, body.get());
-            } catch (const std::exception &e) {
-                sendReply(request, makeJson(status_codes::BadRequest, e.what()));
-            }
-        });
+        withBody(request,
+                 [this](const http_request &r, const std::string &body) { dispatch(r, body); });
     }
 
 private:
