--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -20,6 +20,7 @@
 std::vector<place> makePlaces(int count)
 {
     std::vector<place> places;
+    places.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         places.emplace_back("target-" + std::to_string(i));
     }
@@ -29,6 +30,7 @@
 std::vector<std::size_t> modulo(const std::vector<std::uint64_t> &names, int places)
 {
     std::vector<std::size_t> chosen;
+    chosen.reserve(names.size());
     for (const std::uint64_t name : names) {
         chosen.push_back(name % static_cast<std::uint64_t>(places));
     }
@@ -39,6 +41,7 @@
 {
     const std::vector<place> all = makePlaces(places);
     std::vector<std::size_t> chosen;
+    chosen.reserve(names.size());
     for (const std::uint64_t name : names) {
         chosen.push_back(rendezvousBest(name, all));
     }
--- a/bench/recovery.cpp
+++ b/bench/recovery.cpp
@@ -69,6 +69,7 @@
 {
     std::vector<std::thread> threads;
     std::vector<duration> servedAfter(keys, patience);
+    threads.reserve(keys);
     for (int key = 0; key < keys; ++key) {
         threads.emplace_back([&fleet, &servedAfter, vm, key, begin] {
             while (mono_clock::now() < begin + patience) {
@@ -155,6 +156,7 @@
     std::string kind;
     while (std::getline(kinds, kind, ',')) {
         std::vector<duration> times;
+        times.reserve(static_cast<std::size_t>(FLAGS_runs));
         for (int i = 0; i < FLAGS_runs; ++i) {
             times.push_back(loseOnce(fleet, kind, random));
         }
--- a/test/hashing_test.cpp
+++ b/test/hashing_test.cpp
@@ -14,6 +14,7 @@
 std::vector<place> makePlaces(int count)
 {
     std::vector<place> places;
+    places.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         places.emplace_back("place-" + std::to_string(i), 1.0 + i % 3);
     }
--- a/test/process_operator_test.cpp
+++ b/test/process_operator_test.cpp
@@ -166,6 +166,7 @@
         CPPUNIT_ASSERT(startServing(fleet));
         fleet.behave("platform", R"({"lose_answers":0.3})");
         std::vector<std::future<command_result>> operators;
+        operators.reserve(6);
         for (int i = 0; i < 6; ++i) {
             operators.push_back(std::async(std::launch::async, [&fleet, i] {
                 return fleet.ctl("--requester op" + std::to_string(i) + " grant-key dojo "
@@ -173,6 +174,7 @@
             }));
         }
         std::vector<command_result> results;
+        results.reserve(operators.size());
         for (auto &op : operators) {
             results.push_back(op.get());
         }
--- a/test/process_path_test.cpp
+++ b/test/process_path_test.cpp
@@ -170,7 +170,7 @@
         fleet.signal("lookup/l3", SIGCONT);
         fleet.startProcess("lookup/l1");
         CPPUNIT_ASSERT(process_fleet::eventually(seconds(20), [&] {
-            return allServed(fleet, 0, 40) && fleet.records("lookup/l1")["grants"].size() > 0;
+            return allServed(fleet, 0, 40) && !fleet.records("lookup/l1")["grants"].empty();
         }));
     }
 
--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -137,6 +137,7 @@
     {
         target_chooser chooser(true);
         std::vector<target_id> all;
+        all.reserve(6);
         for (int i = 0; i < 6; ++i) {
             all.push_back(targetNamed("t" + std::to_string(i)));
         }
@@ -158,6 +159,7 @@
         target_chooser chooser(true);
         std::mt19937_64 random(5);
         std::vector<target_id> all;
+        all.reserve(6);
         for (int i = 0; i < 6; ++i) {
             all.push_back(targetNamed("t" + std::to_string(i)));
         }
--- a/test/support/ownership_world.cpp
+++ b/test/support/ownership_world.cpp
@@ -123,10 +123,13 @@
     int index = 0;
     for (const auto &[name, t] : m_targets) {
         const std::string dc = index++ < m_options.targets ? "a" : "b";
-        text += "target " + name + " dc=" + dc + " address=127.0.0.1:9000 # test\n";
+        text += "target " + name;
+        text += " dc=" + dc;
+        text += " address=127.0.0.1:9000 # test\n";
     }
     for (const std::string &name : m_drained) {
-        text += "drain " + name + " # test\n";
+        text += "drain " + name;
+        text += " # test\n";
     }
     return m_outB ? text + "out b # test\n" : text;
 }
--- a/test/support/raw_target.cpp
+++ b/test/support/raw_target.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <stdexcept>
 
 namespace damaskward {
 namespace testing {
@@ -28,8 +29,11 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-    listen(m_listener, SOMAXCONN);
+    const bool bound =
+        bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+    if (!bound || listen(m_listener, SOMAXCONN) != 0) {
+        throw std::runtime_error("no port for a raw target");
+    }
     socklen_t length = sizeof(address);
     getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
     m_port = ntohs(address.sin_port);
