Stand-in targets stop at deadlines and on cancellation; reports that lag

Cause: the target stand-in read a request's deadline and ran on past it; the load report could lie but not lag. Change: a run is ended at its deadline or by /control/cancel and answered 'unknown'; the exchange reads that as doubt, never as the answer to record. The load report can be given a lag.

--- a/src/Daemon/target_exchange.cpp
+++ b/src/Daemon/target_exchange.cpp
@@ -59,6 +59,11 @@
         return outcome;
     }
     const std::string state = headerText(response.headers(), header::runState);
+    if (!state.empty() && parseRunState(state) == run_state::Unknown) {
+        outcome.what = exchange_outcome::kind::TimedOut; // It began and was ended on the way.
+        outcome.reason = std::string(refusal::deadline);
+        return outcome;
+    }
     const bool notRun = !state.empty() && parseRunState(state) == run_state::NotRun;
     outcome.what =
         notRun ? exchange_outcome::kind::RefusedNotRun : exchange_outcome::kind::Answered;
--- a/test/exchange_test.cpp
+++ b/test/exchange_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(cutChunkIsRefused);
     CPPUNIT_TEST(bodyWithoutEndIsRefused);
     CPPUNIT_TEST(refusalOfTheTargetIsNotRun);
+    CPPUNIT_TEST(runEndedByTheTargetIsInDoubt);
     CPPUNIT_TEST(closedConnectionIsInDoubt);
     CPPUNIT_TEST(nobodyThereIsNeverSent);
     CPPUNIT_TEST(slowAnswerIsGivenUpAndItsConnectionClosed);
@@ -137,6 +138,15 @@
         CPPUNIT_ASSERT_EQUAL(std::string("shed"), outcome.reason);
     }
 
+    void runEndedByTheTargetIsInDoubt()
+    {
+        const auto outcome = exchangeWith([](int, const std::string &id) {
+            return "HTTP/1.1 504 Late\r\nDamask-Request-Id: " + id
+                + "\r\nDamask-Run-State: unknown\r\nContent-Length: 0\r\n\r\n";
+        });
+        CPPUNIT_ASSERT(outcome.what == kind::TimedOut);
+    }
+
     void closedConnectionIsInDoubt()
     {
         const auto outcome = exchangeWith([](int, const std::string &) { return std::string(); });
--- a/test/process_once_test.cpp
+++ b/test/process_once_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(gateKilledBetweenIntentAndDispatch);
     CPPUNIT_TEST(targetCrashedAfterRunning);
     CPPUNIT_TEST(platformDownIsNotRun);
+    CPPUNIT_TEST(deadlinePassesWhileItRuns);
     CPPUNIT_TEST(crashingRequestTakesTwoTargetsAtMost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -150,6 +151,22 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, runsOf(fleet, "crash-1"));
     }
 
+    void deadlinePassesWhileItRuns()
+    {
+        process_fleet fleet(onceFleet(24400, R"({"service_us":5000000})"));
+        CPPUNIT_ASSERT(fleet.start());
+        const http_answer late = fleet.call(0, "POST", "/promotion/s",
+                                            {{"Damask-Api-Key", apiKey},
+                                             {"Idempotency-Key", "late-1"},
+                                             {"Damask-Deadline-Ms", "400"}},
+                                            "{}");
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), late.state());
+        CPPUNIT_ASSERT_EQUAL(std::string("deadline"), late.reason());
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                             fleet.post(1, "/promotion/s", apiKey, "late-1").state());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, runsOf(fleet, "late-1"));
+    }
+
     void platformDownIsNotRun()
     {
         process_fleet fleet(onceFleet(24000, "{}"));
--- a/tools/standin/target_behaviour.h
+++ b/tools/standin/target_behaviour.h
@@ -25,6 +25,7 @@
     bool wrongId = false; ///< echo a wrong request id
     bool noId = false; ///< echo none
     bool lyingLoad = false; ///< the load report always says idle
+    std::int64_t loadLagMillis = 0; ///< how old the load report is
     bool unchecked = false; ///< it does not check who gives it an order
     bool forgetful = false; ///< it records nothing, for measurements of speed
     int bodyBytes = 0; ///< filler in each answer
@@ -50,6 +51,8 @@
     behaviour.wrongId = has("wrong_id") ? jsonBool(value, "wrong_id") : behaviour.wrongId;
     behaviour.noId = has("no_id") ? jsonBool(value, "no_id") : behaviour.noId;
     behaviour.lyingLoad = has("lying_load") ? jsonBool(value, "lying_load") : behaviour.lyingLoad;
+    behaviour.loadLagMillis =
+        has("load_lag_ms") ? jsonSigned(value, "load_lag_ms") : behaviour.loadLagMillis;
     behaviour.unchecked = has("unchecked") ? jsonBool(value, "unchecked") : behaviour.unchecked;
     behaviour.forgetful = has("forgetful") ? jsonBool(value, "forgetful") : behaviour.forgetful;
     behaviour.bodyBytes =
--- a/tools/standin/target_standin.cpp
+++ b/tools/standin/target_standin.cpp
@@ -13,7 +13,9 @@
 #include <gflags/gflags.h>
 #include <pplx/threadpool.h>
 
+#include <deque>
 #include <iostream>
+#include <map>
 #include <mutex>
 
 DEFINE_string(address, "127.0.0.1:9000", "IP:PORT to listen on");
@@ -50,6 +52,13 @@
     time_point deadline;
 };
 
+/// How many requests ran from some moment on.
+struct load_sample
+{
+    time_point at;
+    int running = 0;
+};
+
 /// \class target
 /// \brief One target process.
 class target
@@ -82,6 +91,8 @@
             grant(request, body);
         } else if (path == "/control/load") {
             load(request);
+        } else if (path == "/control/cancel") {
+            cancel(request, body);
         } else if (path == "/admin/behave") {
             behave(request, body);
         } else if (path == "/admin/records") {
@@ -121,11 +132,34 @@
         }
     }
 
+    /// Changes the number of running requests and remembers when, for a report that lags.
+    void noteLoad(int change)
+    {
+        m_running += change;
+        if (m_behaviour.loadLagMillis > 0) {
+            m_loads.push_back({mono_clock::now(), m_running});
+        }
+    }
+
+    /// \returns the load as it was the report's lag ago.
+    int reportedLoad()
+    {
+        if (m_behaviour.loadLagMillis == 0) {
+            return m_running;
+        }
+        const time_point then = mono_clock::now() - milliseconds(m_behaviour.loadLagMillis);
+        while (!m_loads.empty() && m_loads.front().at <= then) {
+            m_lastLoad = m_loads.front().running;
+            m_loads.pop_front();
+        }
+        return m_lastLoad;
+    }
+
     void load(const http_request &request)
     {
         const std::lock_guard lock(m_mutex);
         Json::Value value;
-        value["running"] = m_behaviour.lyingLoad ? 0 : m_running;
+        value["running"] = m_behaviour.lyingLoad ? 0 : reportedLoad();
         value["slots"] = m_behaviour.slots;
         sendReply(request, makeJson(status_codes::OK, writeJson(value)));
     }
@@ -227,7 +261,7 @@
 
     void start(const run_request &run)
     {
-        ++m_running;
+        noteLoad(1);
         m_record.noteRunning(m_running);
         m_state.started(static_cast<std::uint32_t>(run.shard.value_or(0)), run.gateTerm);
         if (!m_behaviour.forgetful) {
@@ -250,29 +284,61 @@
         return microseconds(static_cast<std::int64_t>(drawn));
     }
 
+    /// Ends the request after its service time, or earlier at its deadline or when it is cancelled.
     void finishLater(const http_request &request, const run_request &run, duration serviceTime)
     {
+        const duration left = run.deadline - mono_clock::now();
+        const bool tooLong = left < serviceTime;
         if (serviceTime <= duration::zero()) {
-            finish(request, run);
+            finish(request, run, false);
             return;
         }
         auto &service = crossplat::threadpool::shared_instance().service();
-        auto timer = std::make_shared<boost::asio::steady_timer>(service, serviceTime);
-        timer->async_wait([this, timer, request, run](const boost::system::error_code & /*error*/) {
-            finish(request, run);
+        auto timer = std::make_shared<boost::asio::steady_timer>(service);
+        timer->expires_after(std::max(duration::zero(), std::min(left, serviceTime)));
+        {
+            const std::lock_guard lock(m_mutex);
+            m_timers[run.id] = timer;
+        }
+        timer->async_wait([this, timer, request, run, tooLong](const boost::system::error_code &e) {
+            const bool cancelled = static_cast<bool>(e);
+            finish(request, run, tooLong || cancelled);
         });
     }
 
-    void finish(const http_request &request, const run_request &run)
+    /// Ends the request whose id is the body's `id`, if it still runs.
+    void cancel(const http_request &request, const std::string &body)
+    {
+        const std::optional<Json::Value> value = readJsonObject(body);
+        std::shared_ptr<boost::asio::steady_timer> timer;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto known = m_timers.find(value ? jsonText(*value, "id") : "");
+            timer = known == m_timers.end() ? nullptr : known->second;
+        }
+        if (timer != nullptr) {
+            timer->cancel();
+        }
+        sendReply(request,
+                  makeJson(status_codes::OK, timer == nullptr ? "{}" : R"({"ended":true})"));
+    }
+
+    /// \param cut the request was ended before its service time
+    void finish(const http_request &request, const run_request &run, bool cut)
     {
-        http_response response(status_codes::OK);
+        http_response response(cut ? status_codes::GatewayTimeout : status_codes::OK);
         {
             const std::lock_guard lock(m_mutex);
-            --m_running;
+            noteLoad(-1);
+            m_timers.erase(run.id);
             m_state.ended(static_cast<std::uint32_t>(run.shard.value_or(0)), run.gateTerm);
             if (m_behaviour.crashAfterRun) {
                 std::_Exit(crashedExitCode);
             }
+            if (cut) {
+                response.headers().add(header::runState, std::string(toString(run_state::Unknown)));
+                response.headers().add(header::reason, "deadline");
+            }
             if (!m_behaviour.noId) {
                 response.headers().add(header::requestId, m_behaviour.wrongId ? "wrong" : run.id);
             }
@@ -291,6 +357,9 @@
     run_record m_record;
     std::mt19937_64 m_random;
     int m_running = 0;
+    std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> m_timers; ///< by request id
+    std::deque<load_sample> m_loads;
+    int m_lastLoad = 0;
 };
 
 result<int> serve()
