Cold targets are not overfed, proved with processes

Cause: only the core's queue was proved for cold starts. Change: a process test. All targets of a data centre start anew under 400 requests a second from four VMs, so all shards arrive at cold targets, and a gate is killed meanwhile; a stand-in that gets one request more than it bears ends its process. Conclusion: the queue's limit and the count of other gates' requests hold.

--- a/test/process_operator_test.cpp
+++ b/test/process_operator_test.cpp
@@ -110,6 +110,7 @@
     CPPUNIT_TEST(drainedTargetGetsNoNewWork);
     CPPUNIT_TEST(dataCenterOutAndIn);
     CPPUNIT_TEST(rollingRestartCutsNothing);
+    CPPUNIT_TEST(coldTargetsAreNotOverfed);
     CPPUNIT_TEST_SUITE_END();
 
     void withdrawnKeyStopsEverywhere()
@@ -241,6 +242,41 @@
             seconds(20), [&] { return allServed(fleet) && runsAt(fleet, "lookup/l3") > before; }));
     }
 
+    void coldTargetsAreNotOverfed()
+    {
+        fleet_options options = operatorFleet(27200);
+        for (fleet_target &target : options.targets) {
+            // One request more than it bears while cold ends the stand-in's process.
+            target.behaviour = R"({"slots":4,"cold_slots":1,"warm_ms":1500,"service_us":4000})";
+            target.rule = "slots=4 connections=130 cold=1 warm_ms=1500";
+        }
+        process_fleet fleet(options);
+        CPPUNIT_ASSERT(startServing(fleet));
+        load::load_plan plan = steadyLoad(fleet, milliseconds(9000));
+        plan.streams = {{"keyed", dojoKey, "lookup", 400.0, false}};
+        load::open_loop loop(plan);
+        auto results = std::async(std::launch::async, [&loop] { return loop.run(); });
+        std::this_thread::sleep_for(seconds(2));
+        // All of a data centre's targets start anew, so all shards arrive at cold ones.
+        for (const char *target : {"lookup/l1", "lookup/l2"}) {
+            fleet.kill(target);
+        }
+        for (const char *target : {"lookup/l1", "lookup/l2"}) {
+            fleet.startProcess(target);
+        }
+        std::this_thread::sleep_for(milliseconds(300));
+        fleet.kill("a2"); // A gate changes hands while its target is cold.
+        results.wait();
+        std::uint64_t mostRunning = 0;
+        for (const char *target : {"lookup/l1", "lookup/l2", "lookup/l3", "lookup/l4"}) {
+            CPPUNIT_ASSERT_MESSAGE(fleet.log(target), fleet.isRunning(target));
+            CPPUNIT_ASSERT(runsAt(fleet, target) > 0);
+            mostRunning =
+                std::max(mostRunning, jsonUnsigned(fleet.records(target), "most_running"));
+        }
+        CPPUNIT_ASSERT(mostRunning <= 4);
+    }
+
     void rollingRestartCutsNothing()
     {
         process_fleet fleet(operatorFleet(27000));
