A refusal 'not run' only for a body that could not be read; dead members gone

Skipping a thread-pool turn for empty bodies had drawn the whole dispatch into the try that guards reading the body, at the entry and at the gate: a failure after the request had left would have been answered 400 'not run', which might be untrue. Ruled out: that nothing in there can throw (making a message does, on bad header values). Change: the try holds the reading alone, as before. No test brings about such a failure yet.

--- a/src/Daemon/control_loop.cpp
+++ b/src/Daemon/control_loop.cpp
@@ -153,7 +153,6 @@
 
 bool control_loop::stop(time_point deadline)
 {
-    m_stopping = true;
     post(stop_requested{});
     while (!m_handedOver && mono_clock::now() < deadline) {
         std::this_thread::sleep_for(internal::tickPeriod);
--- a/src/Daemon/control_loop.h
+++ b/src/Daemon/control_loop.h
@@ -110,7 +110,6 @@
     questions<vote_answer> m_votes;
     std::atomic<operation_id> m_nextQuestion{0};
     std::atomic<bool> m_running{false};
-    std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_handedOver{false};
     std::thread m_thread;
 };
--- a/src/Daemon/entry_front.cpp
+++ b/src/Daemon/entry_front.cpp
@@ -178,11 +178,14 @@
     }
     call->message.extract_vector().then(
         [this, call](const pplx::task<std::vector<unsigned char>> &task) {
+            std::vector<unsigned char> body;
             try {
-                onBody(call, task.get());
+                body = task.get();
             } catch (const std::exception &) {
                 refuse(call, 400, refusal::bodySize);
+                return;
             }
+            onBody(call, std::move(body)); // Outside: after a failure in there it may have run.
         });
 }
 
--- a/src/Daemon/entry_front.h
+++ b/src/Daemon/entry_front.h
@@ -96,7 +96,6 @@
     void countOutcome(const entry_call &call, const forward_answer &answer);
 
     entry_parts m_parts;
-    part_log m_log{"entry"};
     std::atomic<int> m_inside{0};
     std::atomic<std::uint64_t> m_taken{0};
     std::atomic<bool> m_stopping{false};
--- a/src/Daemon/gate_front.h
+++ b/src/Daemon/gate_front.h
@@ -95,7 +95,6 @@
     std::shared_ptr<intent_keeper> m_intents;
     crash_ledger &m_crashes;
     metrics &m_metrics;
-    part_log m_log{"gate"};
     mutable std::shared_mutex m_gatesMutex;
     std::map<target_id, std::shared_ptr<gate>> m_gates;
     std::vector<std::weak_ptr<gate>> m_left; ///< gates given up whose last requests still run
--- a/src/Daemon/vm_process.cpp
+++ b/src/Daemon/vm_process.cpp
@@ -233,11 +233,14 @@
     }
     message.extract_vector().then(
         [this, message, request](const pplx::task<std::vector<unsigned char>> &task) {
+            std::vector<unsigned char> body;
             try {
-                submitForwarded(message, request, task.get());
+                body = task.get();
             } catch (const std::exception &) {
                 sendReply(message, makeRefusal(400, run_state::NotRun, refusal::bodySize));
+                return;
             }
+            submitForwarded(message, request, std::move(body));
         });
 }
 
