Given-up calls reset their connection: no grant arrives after a cut has healed

Cause: after a time-out the connection was closed, and the system went on sending what it held. Ruled out: the fence counter (the log shows one keeper, fences rising). Change: a call that fails or is cancelled resets its connection, which drops undelivered bytes.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -84,7 +84,7 @@
     {
         if (m_done && m_number == number) {
             m_done = nullptr;
-            close();
+            abort();
         }
     }
 
@@ -111,6 +111,15 @@
         }
     }
 
+    /// Closes the connection and drops what it has not delivered. After a plain close the system
+    /// goes on sending, and a call given up long ago would arrive when a cut link heals.
+    void abort()
+    {
+        error_code ignored; // The connection is given up in any case.
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     void leaveIdle() { m_pool.m_deadlines.remove(m_idleDeadline); }
 
 private:
@@ -293,7 +302,7 @@
     {
         const auto done = std::move(m_done);
         m_done = nullptr;
-        close();
+        abort();
         if (done) {
             done({failure, {}});
         }
