--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -9,9 +9,6 @@
 
 constexpr const char *seatRow = "keeper";
 constexpr const char *keeperDuty = "keeper";
-/// An order is answered within some milliseconds; a release takes as long as the work that runs.
-constexpr milliseconds grantTimeout{400};
-constexpr milliseconds releaseTimeout{1500};
 /// The holds are lengthened when the store has not taken a renewal for this long, or when this
 /// much of the lease is left.
 constexpr milliseconds quietTime{700};
@@ -30,15 +27,18 @@
 
 } // namespace
 
-keeper_seat::keeper_seat(platform_port &platform, outgoing_pool &pool, target_book &targets,
-                         peer_book &peers, request_log &log, std::int64_t incarnation,
+keeper_seat::keeper_seat(store_port &store, std::string table, order_sender send,
+                         target_book &targets, peer_book &peers, request_log &log,
+                         std::int64_t incarnation, clock_source clock,
                          std::function<void(const owner_update &)> publish)
-    : m_platform(platform)
-    , m_pool(pool)
+    : m_store(store)
+    , m_table(std::move(table))
+    , m_send(std::move(send))
     , m_targets(targets)
     , m_peers(peers)
     , m_log(log)
     , m_incarnation(incarnation)
+    , m_clock(std::move(clock))
     , m_publish(std::move(publish))
     , m_lease(lease_timing{})
 { }
@@ -198,24 +198,19 @@
     const auto address = m_addresses.find(targetOf(order));
     if (address == m_addresses.end()) {
         // Never seen here: its last grant has to run out.
-        keeper->ended(numberOf(order), order_outcome::Unanswered, {}, mono_clock::now());
+        keeper->ended(numberOf(order), order_outcome::Unanswered, {}, m_clock());
         return;
     }
-    outgoing_call call = m_platform.encodeOrder(order, address->second);
-    const bool isGrant = std::holds_alternative<grant_order>(order);
-    call.deadline = mono_clock::now() + (isGrant ? grantTimeout : releaseTimeout);
     const std::weak_ptr<range_keeper> weak = keeper;
-    m_pool.send(std::move(call), [this, weak, order](call_result &&result) {
-        const order_answer answer = m_platform.decodeOrderAnswer(result);
+    m_send(order, address->second, [this, weak, order](const order_answer &answer) {
         if (answer.outcome != order_outcome::Done) {
             m_log.write(log_line("order")
                             .add("target", targetOf(order))
                             .add("grant", std::holds_alternative<grant_order>(order))
-                            .add("failure", static_cast<int>(result.failure))
-                            .add("status", result.answer.result_int()));
+                            .add("outdated", answer.outcome == order_outcome::Outdated));
         }
         if (const auto current = weak.lock()) {
-            current->ended(numberOf(order), answer.outcome, answer.handover, mono_clock::now());
+            current->ended(numberOf(order), answer.outcome, answer.handover, m_clock());
         }
     });
 }
@@ -223,8 +218,8 @@
 void keeper_seat::readRow(time_point)
 {
     m_lease.sent();
-    m_platform.store.read(m_platform.ownTable, seatRow, [this](row_result &&result) {
-        const time_point now = mono_clock::now();
+    m_store.read(m_table, seatRow, [this](row_result &&result) {
+        const time_point now = m_clock();
         const auto *rows = std::get_if<row_set>(&result);
         if (!rows) {
             m_lease.failed(now);
@@ -275,14 +270,13 @@
     table_transaction transaction;
     transaction.replace(seatRow, m_lease.version(), m_writing);
     m_lease.sent();
-    m_platform.store.commit(m_platform.ownTable, transaction, [this, now](commit_answer &&answer) {
-        written(std::move(answer), now);
-    });
+    m_store.commit(m_table, transaction,
+                   [this, now](commit_answer &&answer) { written(std::move(answer), now); });
 }
 
 void keeper_seat::written(commit_answer &&answer, time_point sentAt)
 {
-    const time_point now = mono_clock::now();
+    const time_point now = m_clock();
     switch (answer.outcome) {
     case commit_outcome::Applied:
         applied(answer.revision, sentAt);
@@ -310,7 +304,7 @@
 
 void keeper_seat::applied(row_version version, time_point sentAt)
 {
-    const time_point now = mono_clock::now();
+    const time_point now = m_clock();
     m_lease.written(version, sentAt);
     m_writing.clear();
     if (m_failingSince != time_point{}) {
@@ -334,8 +328,8 @@
 /// applied without an answer, or another VM has written it.
 void keeper_seat::compareRow(time_point sentAt)
 {
-    m_platform.store.read(m_platform.ownTable, seatRow, [this, sentAt](row_result &&result) {
-        const time_point now = mono_clock::now();
+    m_store.read(m_table, seatRow, [this, sentAt](row_result &&result) {
+        const time_point now = m_clock();
         const auto *rows = std::get_if<row_set>(&result);
         if (!rows) {
             m_lease.failed(now);
@@ -412,7 +406,7 @@
     table_transaction transaction;
     transaction.replace(seatRow, m_lease.version(), m_writing);
     m_lease.sent();
-    m_platform.store.commit(m_platform.ownTable, transaction, [](commit_answer &&) {
+    m_store.commit(m_table, transaction, [](commit_answer &&) {
         // Unanswered or not: without a renewal the lease runs out by itself.
     });
     drop("leaves", now);
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -6,7 +6,6 @@
 #include "../Fleet/deployment.h"
 #include "../Fleet/peer_book.h"
 #include "../Fleet/target_book.h"
-#include "../Proxy/outgoing_pool.h"
 #include "../Proxy/request_log.h"
 #include "../Ranges/keeper_lease.h"
 #include "../Ranges/range_keeper.h"
@@ -22,7 +21,7 @@
 
 /// \class keeper_seat
 /// \brief Joins the lease, the keepers of all services divided by key, and their one row in the
-/// store. For the event loop's thread.
+/// store. Without I/O of its own; for one thread.
 ///
 /// The row holds the lease's holder and the owners of all keys. Every write checks the version
 /// last seen, renews the lease, and thereby proves that no other VM keeps the keys.
@@ -33,9 +32,17 @@
 class keeper_seat
 {
 public:
+    using order_callback = std::function<void(const order_answer &)>;
+    /// Sends an order to the target at an address and calls back once.
+    using order_sender =
+        std::function<void(const range_order &, const std::string &address, order_callback)>;
+    /// \returns the present point in time.
+    using clock_source = std::function<time_point()>;
+
+    /// \param table the table of the product's own rows
     /// \param publish called with the owners whenever they change
-    keeper_seat(platform_port &platform, outgoing_pool &pool, target_book &targets,
-                peer_book &peers, request_log &log, std::int64_t incarnation,
+    keeper_seat(store_port &store, std::string table, order_sender send, target_book &targets,
+                peer_book &peers, request_log &log, std::int64_t incarnation, clock_source clock,
                 std::function<void(const owner_update &)> publish);
 
     /// Takes over which services are divided by key.
@@ -77,12 +84,14 @@
     void drop(const char *reason, time_point now);
     void publishIfChanged(time_point now);
 
-    platform_port &m_platform;
-    outgoing_pool &m_pool;
+    store_port &m_store;
+    std::string m_table;
+    order_sender m_send;
     target_book &m_targets;
     peer_book &m_peers;
     request_log &m_log;
     std::int64_t m_incarnation;
+    clock_source m_clock;
     std::function<void(const owner_update &)> m_publish;
 
     keeper_lease m_lease;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -29,6 +29,9 @@
 /// While a VM stops, connections are still accepted for this time: the platform needs two checks.
 constexpr milliseconds drainAccept{2300};
 constexpr milliseconds drainMargin{500};
+/// A grant is answered within some milliseconds; a release takes as long as the work that runs.
+constexpr milliseconds grantTimeout{400};
+constexpr milliseconds releaseTimeout{1500};
 constexpr const char *vmRowPrefix = "vm/";
 constexpr const char *configPath = "/config";
 
@@ -62,8 +65,12 @@
           [this] { return m_peers.reachableShare(mono_clock::now()); })
     , m_router(m_deadlines, m_pool, m_targets, m_tokens, m_platform.headers, m_log,
                [this] { sendDraws(); })
-    , m_seat(m_platform, m_pool, m_targets, m_peers, m_log, m_incarnation,
-             [this](const owner_update &update) { publishOwners(update); })
+    , m_seat(
+          m_platform.store, m_platform.ownTable,
+          [this](const range_order &order, const std::string &address,
+                 keeper_seat::order_callback done) { sendOrder(order, address, std::move(done)); },
+          m_targets, m_peers, m_log, m_incarnation, [] { return mono_clock::now(); },
+          [this](const owner_update &update) { publishOwners(update); })
     , m_socket(loop, m_environment.ip, m_environment.peerPort,
                [this](peer_message &&message, const std::string &ip) {
                    received(std::move(message), ip);
@@ -256,6 +263,17 @@
     }
 }
 
+void node::sendOrder(const range_order &order, const std::string &address,
+                     keeper_seat::order_callback done)
+{
+    outgoing_call call = m_platform.encodeOrder(order, address);
+    const bool isGrant = std::holds_alternative<grant_order>(order);
+    call.deadline = mono_clock::now() + (isGrant ? grantTimeout : releaseTimeout);
+    m_pool.send(std::move(call), [this, done = std::move(done)](call_result &&result) {
+        done(m_platform.decodeOrderAnswer(result));
+    });
+}
+
 // Limits of the whole fleet.
 
 std::optional<fleet_limit> node::limitOf(std::string_view name) const
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -66,6 +66,8 @@
     void publishOwners(const owner_update &update);
     void sendDraws();
     void sendAskedKeys(time_point now);
+    void sendOrder(const range_order &order, const std::string &address,
+                   keeper_seat::order_callback done);
     std::optional<fleet_limit> limitOf(std::string_view name) const;
     void updateLimits(time_point now);
     void serveReady(http_exchange &exchange);
--- a/src/Proxy/request_log.cpp
+++ b/src/Proxy/request_log.cpp
@@ -46,8 +46,9 @@
     return *this;
 }
 
-request_log::request_log(std::string vm)
+request_log::request_log(std::string vm, int descriptor)
     : m_vm(std::move(vm))
+    , m_descriptor(descriptor)
 { }
 
 request_log::~request_log()
@@ -75,7 +76,7 @@
 
 void request_log::write(const log_line &line)
 {
-    if (!admit(line.event(), mono_clock::now())) {
+    if (m_descriptor < 0 || !admit(line.event(), mono_clock::now())) {
         return;
     }
     append(line.text());
@@ -97,14 +98,14 @@
 void request_log::flush()
 {
     while (!m_buffer.empty()) {
-        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        pollfd out{m_descriptor, POLLOUT, 0};
         if (::poll(&out, 1, 0) <= 0 || (out.revents & POLLOUT) == 0) {
             return;
         }
         // A pipe that polls writable takes at least this many bytes without blocking.
         constexpr std::size_t pipeBytes = 4096;
         const auto written =
-            ::write(STDOUT_FILENO, m_buffer.data(), std::min(m_buffer.size(), pipeBytes));
+            ::write(m_descriptor, m_buffer.data(), std::min(m_buffer.size(), pipeBytes));
         if (written <= 0) {
             return;
         }
--- a/src/Proxy/request_log.h
+++ b/src/Proxy/request_log.h
@@ -63,7 +63,8 @@
 {
 public:
     /// \param vm the VM's name, which stands in every line
-    explicit request_log(std::string vm);
+    /// \param descriptor where lines go, or -1 to keep none
+    explicit request_log(std::string vm, int descriptor = 1);
     ~request_log();
 
     void write(const log_line &line);
@@ -83,6 +84,7 @@
     void append(std::string_view text);
 
     std::string m_vm;
+    int m_descriptor;
     std::string m_buffer;
     std::map<std::string, event_rate, std::less<>> m_rates;
     std::uint64_t m_dropped = 0;
--- a/src/Ranges/range_keeper.cpp
+++ b/src/Ranges/range_keeper.cpp
@@ -1,6 +1,7 @@
 #include "range_keeper.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damaskward {
 namespace {
@@ -26,6 +27,7 @@
         p.state = phase::Held;
         p.dueAt = now;
         p.heldUntil = unsettled ? now + upperBound(timing.longHold) : now;
+        p.doubtUntil = unsettled ? p.heldUntil : time_point{};
         m_pieces.push_back(std::move(p));
     }
     if (!m_pieces.empty()) {
@@ -108,10 +110,12 @@
     }
     const auto it = views.find(p.owner.target);
     const bool reborn = it != views.end() && it->second.incarnation > p.owner.incarnation;
-    const bool leaving = p.state == phase::Expiring || p.state == phase::Releasing;
+    const bool leaving = p.state == phase::Releasing;
     if (reborn || (leaving && now >= p.heldUntil)) {
+        if (reborn) {
+            p.owner.handover.clear();
+        }
         setFree(p); // The former life is gone, or its last grant has run out.
-        p.owner.handover.clear();
         return;
     }
     if (leaving) {
@@ -120,15 +124,38 @@
     const bool silent =
         p.silentSince != time_point{} && now >= p.silentSince + m_timing.hold - m_timing.renewAfter;
     const bool mayOwn = it != views.end() && it->second.reachable && it->second.mayOwn;
-    if (silent || (!mayOwn && p.order == 0)) {
+    if (silent) {
         abandonOrder(p);
-        p.state = phase::Releasing;
-        p.next.clear();
-        p.dueAt = now;
+        startRelease(p, {}, now);
+    } else if (!mayOwn && p.state == phase::Held && p.order == 0) {
+        leave(p, {}, now);
+    }
+}
+
+/// Takes the keys from their owner, which answers, and which may first need a new fence: it would
+/// still carry out an earlier grant that it has not answered.
+void range_keeper::leave(piece &p, const std::string &to, time_point now)
+{
+    if (now < std::max(p.doubtUntil, p.formerDoubtUntil)) {
+        p.refencing = true;
+        p.afterRefence = to;
+        p.next = p.owner.target;
+        p.state = phase::Free;
         changed();
+    } else {
+        startRelease(p, to, now);
     }
 }
 
+void range_keeper::startRelease(piece &p, const std::string &to, time_point now)
+{
+    p.state = phase::Releasing;
+    p.owner.handover.clear();
+    p.next = to;
+    p.dueAt = now;
+    changed();
+}
+
 void range_keeper::abandonOrder(piece &p)
 {
     if (p.order != 0) {
@@ -141,6 +168,9 @@
 {
     p.state = phase::Free;
     p.order = 0;
+    p.doubtUntil = time_point{};
+    p.formerDoubtUntil = time_point{};
+    p.refencing = false;
     changed();
 }
 
@@ -183,9 +213,7 @@
         piece rest = m_pieces[i];
         piece &moved = m_pieces[i];
         moved.owner.keys = keys;
-        moved.state = phase::Releasing;
-        moved.next = to;
-        moved.dueAt = now;
+        leave(moved, to, now);
         std::vector<piece> others;
         if (whole.first < keys.first) {
             rest.owner.keys = {whole.first, static_cast<shard_key>(keys.first - 1)};
@@ -233,7 +261,7 @@
     }
     constexpr double coldPenalty = 1e6; // A cold target owns keys only if there is no other.
     for (piece &p : m_pieces) {
-        if (p.state != phase::Free || loads.count(p.next) != 0) {
+        if (p.state != phase::Free || p.refencing || loads.count(p.next) != 0) {
             continue;
         }
         const std::string *best = nullptr;
@@ -249,7 +277,7 @@
         loads[*best] += weightOf(p) / views.find(*best)->second.capacity;
     }
     for (piece &p : m_pieces) {
-        if (p.state == phase::Free) {
+        if (p.state == phase::Free && !p.refencing) {
             p.owner.incarnation = views.find(p.next)->second.incarnation;
         }
     }
@@ -297,10 +325,10 @@
             return;
         }
         p.owner.handover = handover;
-        if (now < p.doubtUntil) {
+        if (now < std::max(p.doubtUntil, p.formerDoubtUntil)) {
             // A grant without an answer may still be carried out, until its hold has passed.
-            p.state = phase::Expiring;
-            p.heldUntil = p.doubtUntil;
+            p.dueAt = p.heldUntil;
+            p.releaseLost = true;
             changed();
         } else {
             setFree(p);
@@ -312,19 +340,21 @@
     }
     switch (outcome) {
     case order_outcome::Done:
-        if (p.state == phase::Granting) {
-            p.state = phase::Held;
-            changed();
-        }
         p.dueAt = p.orderSentAt + m_timing.renewAfter;
         p.silentSince = time_point{};
         p.longHold = false;
         p.owner.handover.clear();
+        if (p.state == phase::Granting) {
+            granted(p, now);
+        }
         break;
     case order_outcome::Outdated:
         // Recorded for this target alone, so it only needs a higher fence.
+        p.refencing = true;
+        p.afterRefence.clear();
         p.next = p.owner.target;
-        setFree(p);
+        p.state = phase::Free;
+        changed();
         break;
     case order_outcome::Unanswered:
         p.doubtUntil = std::max(p.doubtUntil, p.heldUntil);
@@ -336,6 +366,18 @@
     }
 }
 
+/// The owner has taken the new fence, so it refuses all grants with earlier ones.
+void range_keeper::granted(piece &p, time_point now)
+{
+    p.state = phase::Held;
+    p.formerDoubtUntil = time_point{};
+    changed();
+    const std::string to = std::exchange(p.afterRefence, {});
+    if (std::exchange(p.refencing, false) && !to.empty()) {
+        leave(p, to, now);
+    }
+}
+
 void range_keeper::holdOver(time_point now)
 {
     for (piece &p : m_pieces) {
@@ -380,7 +422,7 @@
             p.silentSince = time_point{};
             p.longHold = false;
             p.releaseLost = false;
-            p.heldUntil = now;
+            p.formerDoubtUntil = std::max(p.formerDoubtUntil, p.doubtUntil);
             p.doubtUntil = time_point{};
         }
     }
@@ -403,6 +445,8 @@
         m_pieces[i].owner.keys.last = m_pieces[i + 1].owner.keys.last;
         m_pieces[i].heldUntil = std::max(m_pieces[i].heldUntil, m_pieces[i + 1].heldUntil);
         m_pieces[i].doubtUntil = std::max(m_pieces[i].doubtUntil, m_pieces[i + 1].doubtUntil);
+        m_pieces[i].formerDoubtUntil =
+            std::max(m_pieces[i].formerDoubtUntil, m_pieces[i + 1].formerDoubtUntil);
         m_pieces[i].dueAt = std::min(m_pieces[i].dueAt, m_pieces[i + 1].dueAt);
         m_pieces.erase(m_pieces.begin() + static_cast<std::ptrdiff_t>(i) + 1);
         changed();
@@ -417,10 +461,8 @@
         range_owner owner = p.owner;
         if (p.state != phase::Held) {
             owner.target.clear();
-            const bool waits =
-                p.state == phase::Expiring || (p.state == phase::Releasing && p.releaseLost);
             owner.wait = usualMove;
-            if (waits) {
+            if (p.state == phase::Releasing && p.releaseLost) {
                 owner.wait += std::chrono::duration_cast<milliseconds>(
                     std::max<duration>(p.heldUntil - now, milliseconds(0)));
             }
--- a/src/Ranges/range_keeper.h
+++ b/src/Ranges/range_keeper.h
@@ -129,8 +129,7 @@
     enum class phase {
         Held, ///< recorded, granted and renewed
         Granting, ///< recorded, the first grant is not answered yet
-        Releasing, ///< the owner has been told to release it
-        Expiring, ///< released, but a grant without an answer must run out first
+        Releasing, ///< the owner releases it, or its last grant must run out
         Free, ///< nobody owns it; a new owner is to be recorded
         Recording ///< the new owner is being recorded
     };
@@ -141,6 +140,9 @@
         std::string next; ///< the planned new owner, or empty for any
         time_point heldUntil{}; ///< when the last grant has surely run out
         time_point doubtUntil{}; ///< when every grant without an answer has surely run out
+        time_point formerDoubtUntil{}; ///< the same, of grants with earlier fences
+        bool refencing = false; ///< the same owner gets a new fence
+        std::string afterRefence; ///< the planned new owner after that
         time_point dueAt{}; ///< the next order
         time_point silentSince{}; ///< the first unanswered renewal in a row
         order_number order = 0; ///< on its way, 0 for none
@@ -152,6 +154,9 @@
     void fillGaps(time_point now);
     void abandonOrder(piece &p);
     void setFree(piece &p);
+    void leave(piece &p, const std::string &to, time_point now);
+    void startRelease(piece &p, const std::string &to, time_point now);
+    void granted(piece &p, time_point now);
     void check(piece &p, const owner_views &views, time_point now);
     void plan(const owner_views &views, time_point now);
     void startMove(key_range keys, const std::string &to, time_point now);
--- a/src/Ranges/range_planner.cpp
+++ b/src/Ranges/range_planner.cpp
@@ -12,6 +12,9 @@
 constexpr double toleratedExcess = 0.35;
 /// ... and by this many standard deviations of a Poisson count.
 constexpr double toleratedDeviations = 2.0;
+/// A target with less than this share of its part gets keys even if none is over its bound: it
+/// has joined, or has come back.
+constexpr double starvedShare = 0.4;
 /// Moves smaller than this share of a target's part are not worth a change of hands.
 constexpr double leastMove = 0.15;
 
@@ -61,7 +64,7 @@
             const double part = partOf(most);
             const double bound =
                 part + std::max(toleratedExcess * part, toleratedDeviations * std::sqrt(part));
-            if (most.load <= bound) {
+            if (most.load <= bound && least.load >= starvedShare * partOf(least)) {
                 break;
             }
             const double amount = std::min(most.load - part, partOf(least) - least.load);
--- /dev/null
+++ b/test/ranges_test.cpp
@@ -0,0 +1,300 @@
+// Ranges of keys: one owner at a time under seeded faults, and where hot keys go.
+
+#include "src/Ranges/range_keeper.h"
+#include "src/Ranges/range_planner.h"
+#include "support/range_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace damaskward {
+namespace testing {
+namespace {
+
+const time_point start{seconds(100)};
+
+std::uint64_t firstSeed()
+{
+    const char *seed = std::getenv("DAMASKWARD_SEED");
+    return seed ? std::strtoull(seed, nullptr, 10) : 0;
+}
+
+class ranges_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ranges_test);
+    CPPUNIT_TEST(oneOwnerUnderFaults);
+    CPPUNIT_TEST(observerSeesAClockThatStops);
+    CPPUNIT_TEST(observerSeesAStoreWithoutChecks);
+    CPPUNIT_TEST(observerSeesAnIgnoredRelease);
+    CPPUNIT_TEST(observerSeesASlowClock);
+    CPPUNIT_TEST(hotNeighboursAreSpread);
+    CPPUNIT_TEST(newTargetGetsKeys);
+    CPPUNIT_TEST(evenLoadStaysWhereItIs);
+    CPPUNIT_TEST(silentOwnerIsWaitedFor);
+    CPPUNIT_TEST(doubtfulGrantDelaysTheNextOwner);
+    CPPUNIT_TEST(gapsInTheRecordAreFilled);
+    CPPUNIT_TEST_SUITE_END();
+
+    void oneOwnerUnderFaults()
+    {
+        const std::uint64_t only = firstSeed();
+        constexpr std::uint64_t schedules = 300;
+        std::uint64_t moves = 0;
+        for (std::uint64_t seed = only ? only : 1; seed <= (only ? only : schedules); ++seed) {
+            range_world_options options;
+            options.seed = seed;
+            const range_world_report report = playRangeWorld(options);
+            const std::string where = "seed " + std::to_string(seed) + ": "
+                + (report.violations.empty() ? "" : report.violations.front());
+            CPPUNIT_ASSERT_MESSAGE(where, report.violations.empty());
+            CPPUNIT_ASSERT_MESSAGE(where + " owned " + std::to_string(report.ownedAtEnd),
+                                   report.ownedAtEnd > 0.999);
+            moves += report.changesOfHands;
+        }
+        CPPUNIT_ASSERT(only != 0 || moves > schedules * 10);
+    }
+
+    static bool seen(range_world_options options)
+    {
+        for (options.seed = 1; options.seed <= 60; ++options.seed) {
+            if (!playRangeWorld(options).violations.empty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void observerSeesAClockThatStops()
+    {
+        range_world_options options;
+        options.clockStopsInPause = true;
+        CPPUNIT_ASSERT(seen(options));
+    }
+
+    void observerSeesAStoreWithoutChecks()
+    {
+        range_world_options options;
+        options.storeIgnoresChecks = true;
+        CPPUNIT_ASSERT(seen(options));
+    }
+
+    void observerSeesAnIgnoredRelease()
+    {
+        range_world_options options;
+        options.targetIgnoresRelease = true;
+        CPPUNIT_ASSERT(seen(options));
+    }
+
+    void observerSeesASlowClock()
+    {
+        range_world_options options;
+        options.targetClockSlowPercent = 60;
+        CPPUNIT_ASSERT(seen(options));
+    }
+
+    static std::vector<owner_candidate> candidates(int count)
+    {
+        std::vector<owner_candidate> result;
+        for (int i = 0; i < count; ++i) {
+            result.push_back({"t" + std::to_string(i), 1, 2.0});
+        }
+        return result;
+    }
+
+    /// Applies moves until the planner is content. \returns the load of the busiest over the mean.
+    static double settle(std::vector<range_owner> owners, const key_load &load,
+                         const std::vector<owner_candidate> &targets, std::size_t &moves)
+    {
+        moves = 0;
+        for (int round = 0; round < 20; ++round) {
+            const auto plan = planMoves(owners, load, targets, 12, start);
+            if (plan.empty()) {
+                break;
+            }
+            moves += plan.size();
+            for (const planned_move &move : plan) {
+                owners = moved(owners, move);
+            }
+        }
+        std::map<std::string, double> loads;
+        double total = 0.0;
+        for (const range_owner &o : owners) {
+            loads[o.target] += load.of(o.keys, start);
+            total += load.of(o.keys, start);
+        }
+        double most = 0.0;
+        for (const auto &[name, value] : loads) {
+            most = std::max(most, value);
+        }
+        return most / (total / static_cast<double>(targets.size()));
+    }
+
+    static std::vector<range_owner> moved(const std::vector<range_owner> &owners,
+                                          const planned_move &move)
+    {
+        std::vector<range_owner> result;
+        for (const range_owner &o : owners) {
+            if (!o.keys.contains(move.keys.first)) {
+                result.push_back(o);
+                continue;
+            }
+            CPPUNIT_ASSERT(o.keys.contains(move.keys.last));
+            CPPUNIT_ASSERT_EQUAL(move.from, o.target);
+            range_owner part = o;
+            if (o.keys.first < move.keys.first) {
+                part.keys = {o.keys.first, static_cast<shard_key>(move.keys.first - 1)};
+                result.push_back(part);
+            }
+            part.keys = move.keys;
+            part.target = move.to;
+            result.push_back(part);
+            if (move.keys.last < o.keys.last) {
+                part = o;
+                part.keys = {static_cast<shard_key>(move.keys.last + 1), o.keys.last};
+                result.push_back(part);
+            }
+        }
+        return result;
+    }
+
+    /// Load pattern: 200 neighbouring keys get two fifths of the requests.
+    void hotNeighboursAreSpread()
+    {
+        const auto targets = candidates(20);
+        key_load load(start);
+        std::mt19937 random(5);
+        for (int i = 0; i < 1000; ++i) {
+            const bool hot = i % 5 < 2;
+            load.add(hot ? static_cast<shard_key>(30000 + random() % 200)
+                         : static_cast<shard_key>(random() % keyCount),
+                     start);
+        }
+        std::size_t moves = 0;
+        const auto naive = evenSplit(targets);
+        double naiveMost = 0.0;
+        for (const range_owner &o : naive) {
+            naiveMost = std::max(naiveMost, load.of(o.keys, start) / 50.0);
+        }
+        const double after = settle(naive, load, targets, moves);
+        CPPUNIT_ASSERT(naiveMost > 8.0);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(after), after < 1.6);
+        CPPUNIT_ASSERT(moves <= 24);
+    }
+
+    void newTargetGetsKeys()
+    {
+        key_load load(start);
+        std::mt19937 random(6);
+        for (int i = 0; i < 1000; ++i) {
+            load.add(static_cast<shard_key>(random() % keyCount), start);
+        }
+        auto owners = evenSplit(candidates(4));
+        std::size_t moves = 0;
+        settle(owners, load, candidates(5), moves);
+        CPPUNIT_ASSERT(moves >= 1);
+    }
+
+    void evenLoadStaysWhereItIs()
+    {
+        key_load load(start);
+        std::mt19937 random(7);
+        for (int i = 0; i < 400; ++i) {
+            load.add(static_cast<shard_key>(random() % keyCount), start);
+        }
+        std::size_t moves = 0;
+        settle(evenSplit(candidates(20)), load, candidates(20), moves);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, moves);
+    }
+
+    static owner_views views(int count)
+    {
+        owner_views result;
+        for (int i = 0; i < count; ++i) {
+            result["t" + std::to_string(i)].incarnation = 1;
+        }
+        return result;
+    }
+
+    static range_owner ownedByFirst()
+    {
+        range_owner all;
+        all.keys = {0, keyCount - 1};
+        all.target = "t0";
+        all.incarnation = 1;
+        all.fence = 7;
+        return all;
+    }
+
+    /// A silent owner's keys are recorded for another only when its last grant has run out.
+    void silentOwnerIsWaitedFor()
+    {
+        keeper_timing timing;
+        range_keeper keeper(timing, {ownedByFirst()}, false, start);
+        time_point now = start;
+        const time_point forever = start + seconds(1000);
+        auto orders = keeper.step(views(2), forever, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        keeper.ended(std::get<grant_order>(orders[0]).number, order_outcome::Done, {}, now);
+        const time_point lastGrant = now;
+        owner_views without = views(2);
+        without.erase("t0");
+        while (!keeper.wantsRecord() && now < start + seconds(30)) {
+            now += milliseconds(50);
+            for (const range_order &order : keeper.step(without, forever, now)) {
+                keeper.ended(std::visit([](const auto &o) { return o.number; }, order),
+                             order_outcome::Unanswered, {}, now);
+            }
+        }
+        CPPUNIT_ASSERT(now >= lastGrant + timing.hold + timing.hold / 50);
+        CPPUNIT_ASSERT(now < lastGrant + timing.hold + seconds(1));
+    }
+
+    /// A renewal without an answer may be carried out late, also after a release.
+    void doubtfulGrantDelaysTheNextOwner()
+    {
+        keeper_timing timing;
+        range_keeper keeper(timing, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        auto orders = keeper.step(views(2), forever, start);
+        keeper.ended(std::get<grant_order>(orders[0]).number, order_outcome::Unanswered, {},
+                     start + milliseconds(400));
+        owner_views draining = views(2);
+        draining["t0"].mayOwn = false;
+        time_point now = start + milliseconds(450);
+        bool released = false;
+        while (!keeper.wantsRecord() && now < start + seconds(30)) {
+            for (const range_order &order : keeper.step(draining, forever, now)) {
+                if (const auto *release = std::get_if<release_order>(&order)) {
+                    released = true;
+                    keeper.ended(release->number, order_outcome::Done, "token", now);
+                }
+            }
+            now += milliseconds(50);
+        }
+        CPPUNIT_ASSERT(released);
+        CPPUNIT_ASSERT(now >= start + timing.hold);
+    }
+
+    void gapsInTheRecordAreFilled()
+    {
+        range_owner part = ownedByFirst();
+        part.keys = {100, 200};
+        range_keeper keeper({}, {part}, true, start);
+        keeper.step(views(2), start + seconds(10), start);
+        std::uint64_t fence = 8;
+        int covered = 0;
+        for (const range_owner &o : keeper.record(fence)) {
+            covered += o.keys.size();
+        }
+        CPPUNIT_ASSERT_EQUAL(keyCount, covered);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ranges_test, "ranges");
+CPPUNIT_REGISTRY_ADD_TO_DEFAULT("ranges");
+
+} // namespace
+} // namespace testing
+} // namespace damaskward
--- /dev/null
+++ b/test/support/range_world.cpp
@@ -0,0 +1,524 @@
+#include "range_world.h"
+
+#include <algorithm>
+
+namespace damaskward {
+namespace testing {
+namespace {
+
+constexpr const char *serviceName = "lookup";
+constexpr seconds faultsEnd{40};
+constexpr seconds worldEnd{65};
+const time_point worldStart{seconds(1000)};
+
+struct hold
+{
+    key_range keys;
+    std::uint64_t fence = 0;
+    time_point until{};
+};
+
+struct world_target
+{
+    target_record record;
+    bool up = true;
+    bool cutFromStore = false; ///< its record lapses although it lives
+    bool silent = false; ///< orders do not reach it
+    double orderLoss = 0.0; ///< share of orders that are carried out late and not answered
+    double clockRate = 1.0; ///< holds last this much longer
+    std::vector<hold> holds;
+    std::vector<hold> seen; ///< every grant's keys and fence
+    std::uint64_t highestFence = 0;
+};
+
+bool overlap(key_range a, key_range b)
+{
+    return a.first <= b.last && b.first <= a.last;
+}
+
+class world;
+
+struct world_vm
+{
+    world_vm(world &w, const std::string &name);
+
+    std::string name;
+    target_book targets;
+    peer_book peers;
+    request_log log;
+    store_port store;
+    std::unique_ptr<keeper_seat> seat;
+    time_point pausedUntil{};
+    duration pausedTime{};
+    bool cutFromStore = false;
+    bool keeping = false;
+};
+
+class world
+{
+public:
+    explicit world(const range_world_options &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+        for (int i = 0; i < 5; ++i) {
+            addTarget("t" + std::to_string(i));
+        }
+        for (int i = 0; i < 3; ++i) {
+            m_vms.push_back(std::make_unique<world_vm>(*this, "vm-" + std::to_string(i)));
+        }
+    }
+
+    range_world_report play()
+    {
+        for (std::size_t i = 0; i < m_vms.size(); ++i) {
+            every(milliseconds(50), milliseconds(i * 7), [this, i] { tickVm(*m_vms[i]); });
+            every(milliseconds(700), milliseconds(i * 31), [this, i] { readRegistry(*m_vms[i]); });
+            every(milliseconds(200), milliseconds(i * 13), [this, i] { beat(*m_vms[i]); });
+        }
+        every(milliseconds(20), milliseconds(1), [this] { observe(); });
+        scheduleFaults();
+        while (!m_events.empty() && m_now < worldStart + worldEnd) {
+            const event next = m_events.top();
+            m_events.pop();
+            m_now = next.at;
+            next.action();
+        }
+        m_report.ownedAtEnd = ownedShare();
+        return m_report;
+    }
+
+    time_point now() const { return m_now; }
+    double draw() { return std::uniform_real_distribution<>(0.0, 1.0)(m_random); }
+    duration between(milliseconds least, milliseconds most)
+    {
+        return milliseconds(
+            std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(m_random));
+    }
+    void after(duration span, std::function<void()> action)
+    {
+        m_events.push({m_now + span, ++m_order, std::move(action)});
+    }
+    time_point clockOf(const world_vm &vm) const
+    {
+        return m_options.clockStopsInPause ? m_now - vm.pausedTime : m_now;
+    }
+
+    /// Runs \a action on \a vm, once it is not suspended.
+    void onVm(world_vm &vm, std::function<void()> action)
+    {
+        if (m_now < vm.pausedUntil) {
+            after(vm.pausedUntil - m_now,
+                  [this, &vm, action = std::move(action)] { onVm(vm, action); });
+        } else {
+            action();
+        }
+    }
+
+    void readStore(world_vm &vm, row_callback done)
+    {
+        const bool lost = vm.cutFromStore || m_storeDown;
+        after(between(milliseconds(2), milliseconds(10)), [this, &vm, lost, done] {
+            row_set rows;
+            if (m_rowVersion != 0) {
+                rows.rows.push_back({"keeper", m_rowValue, m_rowVersion, false});
+            }
+            const duration wait = lost ? duration(milliseconds(1200)) : duration(milliseconds(1));
+            after(wait, [this, &vm, lost, rows, done] {
+                onVm(vm, [lost, rows, done] {
+                    lost ? done(store_failure::Unreachable) : done(row_set(rows));
+                });
+            });
+        });
+    }
+
+    void commitStore(world_vm &vm, const table_transaction &transaction, commit_callback done)
+    {
+        if (vm.cutFromStore || m_storeDown) {
+            after(milliseconds(1200), [this, &vm, done] { onVm(vm, [done] { done({}); }); });
+            return;
+        }
+        const bool lost = draw() < m_storeLoss;
+        const duration late =
+            lost && draw() < 0.5 ? between(milliseconds(1000), milliseconds(6000)) : duration();
+        after(between(milliseconds(2), milliseconds(10)) + late,
+              [this, &vm, lost, transaction, done] {
+                  commit_answer answer;
+                  const bool holds = transaction.checks.front().version == m_rowVersion;
+                  if (holds || m_options.storeIgnoresChecks) {
+                      m_rowValue = transaction.puts.front().value;
+                      m_rowVersion = ++m_counter;
+                      answer.outcome = commit_outcome::Applied;
+                      answer.revision = m_rowVersion;
+                  } else {
+                      answer.outcome = commit_outcome::Conflict;
+                  }
+                  if (!lost) {
+                      onVm(vm, [answer, done] { done(commit_answer(answer)); });
+                  }
+              });
+        if (lost) {
+            after(milliseconds(1200), [this, &vm, done] { onVm(vm, [done] { done({}); }); });
+        }
+    }
+
+    void sendOrder(world_vm &vm, const range_order &order, keeper_seat::order_callback done)
+    {
+        const std::string name = std::visit([](const auto &o) { return o.target; }, order);
+        const std::int64_t life = std::visit([](const auto &o) { return o.incarnation; }, order);
+        world_target &target = m_targets.at(name);
+        if (target.silent || !target.up || life != target.record.incarnation) {
+            after(milliseconds(400), [this, &vm, done] { onVm(vm, [done] { done({}); }); });
+            return;
+        }
+        const bool late = draw() < target.orderLoss;
+        const duration travel = between(milliseconds(1), milliseconds(20));
+        after(travel, [this, &vm, &target, life, order, late, done] {
+            const time_point arrived = m_now;
+            const duration delay =
+                late ? between(milliseconds(2000), milliseconds(12000)) : duration();
+            after(delay, [this, &vm, &target, life, order, late, done, arrived] {
+                if (!target.up || life != target.record.incarnation) {
+                    return;
+                }
+                const order_answer answer = carryOut(target, order, arrived);
+                const duration work = std::holds_alternative<release_order>(order)
+                    ? between(milliseconds(0), milliseconds(300))
+                    : duration(milliseconds(2));
+                if (!late) {
+                    after(work, [this, &vm, answer, done] {
+                        onVm(vm, [answer, done] { done(answer); });
+                    });
+                }
+            });
+        });
+        if (late) {
+            after(milliseconds(400), [this, &vm, done] { onVm(vm, [done] { done({}); }); });
+        }
+    }
+
+    void noteKeeping(world_vm &vm)
+    {
+        const bool keeping = vm.seat->keeping(clockOf(vm));
+        m_report.keepers += keeping && !vm.keeping ? 1 : 0;
+        vm.keeping = keeping;
+    }
+
+private:
+    struct event
+    {
+        time_point at;
+        std::uint64_t order;
+        std::function<void()> action;
+        friend bool operator<(const event &a, const event &b)
+        {
+            return a.at != b.at ? a.at > b.at : a.order > b.order;
+        }
+    };
+
+    void addTarget(const std::string &name)
+    {
+        world_target t;
+        t.record.name = name;
+        t.record.incarnation = 1;
+        t.record.service = service_id(serviceName);
+        t.record.address = name;
+        t.record.slots = 2;
+        t.clockRate = 1.0 + draw() * m_options.targetClockSlowPercent / 100.0;
+        m_targets[name] = t;
+    }
+
+    void every(duration pause, duration first, std::function<void()> action)
+    {
+        after(first, [this, pause, action] {
+            action();
+            every(pause, pause, action);
+        });
+    }
+
+    void tickVm(world_vm &vm)
+    {
+        if (m_now >= vm.pausedUntil) {
+            vm.seat->tick(clockOf(vm));
+            noteKeeping(vm);
+            askKeys(vm);
+        }
+    }
+
+    /// Hot neighbours, so that keys keep changing hands.
+    void askKeys(world_vm &vm)
+    {
+        asked_keys keys;
+        // The run of hot keys moves on, until the calm.
+        const duration hotTime = std::min<duration>(m_now - worldStart, faultsEnd);
+        const int hotStart = static_cast<int>(hotTime / seconds(8)) * 6000;
+        for (int i = 0; i < 4; ++i) {
+            const auto spread = static_cast<int>(draw() * 300);
+            keys.keys[service_id(serviceName)].push_back(
+                static_cast<shard_key>((hotStart + spread) % keyCount));
+        }
+        vm.seat->asked(keys, clockOf(vm));
+    }
+
+    void readRegistry(world_vm &vm)
+    {
+        if (m_now < vm.pausedUntil || vm.cutFromStore || m_storeDown) {
+            return;
+        }
+        std::vector<target_record> records;
+        for (auto &[name, t] : m_targets) {
+            ++t.record.heartbeat;
+            if (t.up && !t.cutFromStore) {
+                records.push_back(t.record);
+            }
+        }
+        vm.targets.applyRegistry(records, false, clockOf(vm));
+    }
+
+    void beat(world_vm &vm)
+    {
+        if (m_now < vm.pausedUntil) {
+            return;
+        }
+        peer_beat message;
+        message.name = vm.name;
+        message.incarnation = 1;
+        message.keeper = vm.seat->keeping(clockOf(vm));
+        for (auto &other : m_vms) {
+            constexpr double loss = 0.1;
+            if (other.get() != &vm && draw() > loss) {
+                world_vm &to = *other;
+                after(milliseconds(2), [this, &to, message] {
+                    onVm(to, [this, &to, message] { to.peers.heard(message, clockOf(to)); });
+                });
+            }
+        }
+    }
+
+    order_answer carryOut(world_target &target, const range_order &order, time_point arrived)
+    {
+        order_answer answer;
+        answer.outcome = order_outcome::Done;
+        if (const auto *grant = std::get_if<grant_order>(&order)) {
+            grantKeys(target, *grant, arrived, answer);
+            return answer;
+        }
+        const auto &release = std::get<release_order>(order);
+        answer.handover = "token";
+        if (!m_options.targetIgnoresRelease) {
+            cut(target, release.keys);
+        }
+        return answer;
+    }
+
+    void grantKeys(world_target &target, const grant_order &grant, time_point arrived,
+                   order_answer &answer)
+    {
+        const auto span = duration(static_cast<std::int64_t>(
+            static_cast<double>(duration(grant.hold).count()) * target.clockRate));
+        if (m_now >= arrived + span) {
+            return; // Carried out when its time had passed.
+        }
+        for (const hold &seen : target.seen) {
+            if (overlap(seen.keys, grant.keys) && seen.fence > grant.fence) {
+                answer.outcome = order_outcome::Outdated;
+                return;
+            }
+        }
+        target.seen.push_back({grant.keys, grant.fence, {}});
+        ++m_report.grantsApplied;
+        if (grant.fence > target.highestFence) {
+            ++m_report.changesOfHands;
+            target.highestFence = grant.fence;
+        }
+        for (const auto &[name, other] : m_targets) {
+            for (const hold &h : other.holds) {
+                if (&other != &target && other.up && overlap(h.keys, grant.keys)
+                    && h.fence >= grant.fence) {
+                    violation("fence " + std::to_string(grant.fence) + " at " + target.record.name
+                              + " is not above " + name);
+                }
+            }
+        }
+        cut(target, grant.keys);
+        target.holds.push_back({grant.keys, grant.fence, arrived + span});
+    }
+
+    static void cut(world_target &target, key_range keys)
+    {
+        std::vector<hold> rest;
+        for (const hold &h : target.holds) {
+            if (h.keys.last < keys.first || h.keys.first > keys.last) {
+                rest.push_back(h);
+                continue;
+            }
+            if (h.keys.first < keys.first) {
+                rest.push_back(
+                    {{h.keys.first, static_cast<shard_key>(keys.first - 1)}, h.fence, h.until});
+            }
+            if (h.keys.last > keys.last) {
+                rest.push_back(
+                    {{static_cast<shard_key>(keys.last + 1), h.keys.last}, h.fence, h.until});
+            }
+        }
+        target.holds = std::move(rest);
+    }
+
+    void observe()
+    {
+        std::vector<std::pair<hold, std::string>> all;
+        for (auto &[name, t] : m_targets) {
+            t.holds.erase(std::remove_if(t.holds.begin(), t.holds.end(),
+                                         [this](const hold &h) { return m_now >= h.until; }),
+                          t.holds.end());
+            for (const hold &h : t.holds) {
+                all.emplace_back(h, name);
+            }
+        }
+        std::sort(all.begin(), all.end(), [](const auto &a, const auto &b) {
+            return a.first.keys.first < b.first.keys.first;
+        });
+        for (std::size_t i = 0; i + 1 < all.size(); ++i) {
+            if (all[i].first.keys.last >= all[i + 1].first.keys.first) {
+                violation("two owners: " + all[i].second + " and " + all[i + 1].second);
+            }
+        }
+    }
+
+    void violation(const std::string &what)
+    {
+        m_report.violations.push_back(std::to_string(toMillis(m_now - worldStart))
+                                      + " ms: " + what);
+    }
+
+    double ownedShare() const
+    {
+        int owned = 0;
+        for (const auto &[name, t] : m_targets) {
+            for (const hold &h : t.holds) {
+                owned += t.up && m_now < h.until ? h.keys.size() : 0;
+            }
+        }
+        return static_cast<double>(owned) / keyCount;
+    }
+
+    /// Faults of each kind at random times, overlapping; all end with the time of faults.
+    void scheduleFaults()
+    {
+        for (int i = 0; i < 14; ++i) {
+            const duration at = between(milliseconds(3000), milliseconds(36000));
+            const duration span =
+                std::min<duration>(between(milliseconds(200), milliseconds(9000)), faultsEnd - at);
+            const int kind = std::uniform_int_distribution<int>(0, 7)(m_random);
+            const std::size_t vm = std::uniform_int_distribution<std::size_t>(0, 2)(m_random);
+            const std::string target =
+                "t" + std::to_string(std::uniform_int_distribution<int>(0, 4)(m_random));
+            after(at, [this, kind, vm, target, span] { fault(kind, *m_vms[vm], target, span); });
+        }
+    }
+
+    void fault(int kind, world_vm &vm, const std::string &name, duration span)
+    {
+        world_target &target = m_targets.at(name);
+        switch (kind) {
+        case 0:
+            pause(vm, span);
+            break;
+        case 1:
+            vm.cutFromStore = true;
+            after(span, [&vm] { vm.cutFromStore = false; });
+            break;
+        case 2:
+            m_storeDown = true;
+            after(span, [this] { m_storeDown = false; });
+            break;
+        case 3:
+            m_storeLoss = 0.4;
+            after(span, [this] { m_storeLoss = 0.0; });
+            break;
+        case 4:
+            target.silent = true;
+            after(span, [&target] { target.silent = false; });
+            break;
+        case 5:
+            target.orderLoss = 0.4;
+            after(span, [&target] { target.orderLoss = 0.0; });
+            break;
+        case 6:
+            target.cutFromStore = true;
+            after(span, [&target] { target.cutFromStore = false; });
+            break;
+        default:
+            target.up = false;
+            target.holds.clear();
+            after(span, [&target] {
+                target.up = true;
+                ++target.record.incarnation; // A new life holds nothing.
+                target.holds.clear();
+                target.record.heartbeat = 0;
+                target.highestFence = 0;
+                target.seen.clear();
+            });
+            break;
+        }
+    }
+
+    void pause(world_vm &vm, duration span)
+    {
+        if (m_now < vm.pausedUntil) {
+            return;
+        }
+        vm.pausedUntil = m_now + span;
+        vm.pausedTime += span;
+    }
+
+    range_world_options m_options;
+    std::mt19937_64 m_random;
+    time_point m_now = worldStart;
+    std::uint64_t m_order = 0;
+    std::priority_queue<event> m_events;
+    std::map<std::string, world_target> m_targets;
+    std::vector<std::unique_ptr<world_vm>> m_vms;
+    std::string m_rowValue;
+    row_version m_rowVersion = 0;
+    row_version m_counter = 0;
+    bool m_storeDown = false;
+    double m_storeLoss = 0.0;
+    range_world_report m_report;
+};
+
+world_vm::world_vm(world &w, const std::string &vmName)
+    : name(vmName)
+    , targets(data_center_id("dc"))
+    , peers(vmName)
+    , log(vmName, -1)
+{
+    store.read = [this, &w](const std::string &, const std::string &, row_callback done) {
+        w.readStore(*this, std::move(done));
+    };
+    store.commit = [this, &w](const std::string &, const table_transaction &transaction,
+                              commit_callback done) {
+        w.commitStore(*this, transaction, std::move(done));
+    };
+    seat = std::make_unique<keeper_seat>(
+        store, "own",
+        [this, &w](const range_order &order, const std::string &,
+                   keeper_seat::order_callback done) {
+            w.sendOrder(*this, order, std::move(done));
+        },
+        targets, peers, log, 1, [this, &w] { return w.clockOf(*this); },
+        [](const owner_update &) {});
+    deployment config;
+    config.services[service_id(serviceName)].keyed = true;
+    seat->setDeployment(config);
+}
+
+} // namespace
+
+range_world_report playRangeWorld(const range_world_options &options)
+{
+    return world(options).play();
+}
+
+} // namespace testing
+} // namespace damaskward
