Keys by measured speed; a team over its limit is refused as soon as its bank has said so

Change: VMs report answer times of requests that did not queue, the keeper shares keys out by slots over work time; a request without a token is refused when the bank has answered.

--- a/src/Admission/token_desk.h
+++ b/src/Admission/token_desk.h
@@ -72,7 +72,7 @@
         return m_accounts[limit].account.trySpend(now);
     }
 
-    /// Calls \a retry when tokens of \a limit have come, or a draw has brought none.
+    /// Calls \a retry when the bank has answered; whoever finds no token then is over the limit.
     void waitFor(const std::string &limit, std::function<void()> retry)
     {
         m_accounts[limit].waiting.push_back(std::move(retry));
@@ -103,14 +103,6 @@
         wake(it->second);
     }
 
-    /// Lets all that wait try again, also where no answer came.
-    void wakeAll()
-    {
-        for (auto &[limit, entry] : m_accounts) {
-            wake(entry);
-        }
-    }
-
     /// Answers a draw as the bank. \returns nothing for a limit that is not known here.
     std::optional<token_grant> serve(const token_draw &draw, time_point now)
     {
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -157,7 +157,7 @@
         }
         owner_view view;
         view.incarnation = t.record.incarnation;
-        view.capacity = t.record.slots;
+        view.capacity = t.record.slots * m_work.speedOf(name);
         view.reachable = t.listed;
         view.mayOwn = t.leavingSince == time_point{};
         view.cold = target_book::cold(t, now);
@@ -377,9 +377,12 @@
     m_publish(update);
 }
 
-void keeper_seat::asked(const asked_keys &keys, time_point now)
+void keeper_seat::asked(const key_demand &demand, time_point now)
 {
-    for (const auto &[service, list] : keys.keys) {
+    for (const auto &[target, sample] : demand.work) {
+        m_work.add(target, sample);
+    }
+    for (const auto &[service, list] : demand.keys) {
         const auto it = m_keepers.find(service);
         if (it == m_keepers.end() || !it->second) {
             continue;
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -9,6 +9,7 @@
 #include "../Proxy/request_log.h"
 #include "../Ranges/keeper_lease.h"
 #include "../Ranges/range_keeper.h"
+#include "../Ranges/work_times.h"
 #include "peer_message.h"
 #include "platform_port.h"
 
@@ -49,8 +50,8 @@
     void setDeployment(const deployment &config);
     /// Moves on; to be called some ten times a second.
     void tick(time_point now);
-    /// Notes requests for keys.
-    void asked(const asked_keys &keys, time_point now);
+    /// Notes requests for keys, and how long targets work.
+    void asked(const key_demand &demand, time_point now);
     /// Gives the lease up, so that another VM takes over at once.
     void leave(time_point now);
 
@@ -102,6 +103,7 @@
     bool m_claiming = false;
     std::map<service_id, std::shared_ptr<range_keeper>> m_keepers; ///< empty while not keeping
     std::map<service_id, std::uint64_t> m_published; ///< revisions
+    work_times m_work;
     std::map<std::string, std::string, std::less<>> m_addresses; ///< of targets, also gone ones
     std::uint64_t m_updateVersion = 0;
     time_point m_failingSince{}; ///< of writes to the store
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -122,7 +122,7 @@
     const time_point now = mono_clock::now();
     m_peers.expire(now);
     updateLimits(now);
-    sendAskedKeys(now);
+    sendDemand(now);
     sendBeats();
     sendDraws();
     m_router.setStale(!m_router.config()
@@ -187,8 +187,8 @@
         if (!m_ownersBytes.empty()) {
             m_socket.sendBytes(fromIp, m_ownersBytes);
         }
-    } else if (const auto *keys = std::get_if<asked_keys>(&message)) {
-        m_seat.asked(*keys, now);
+    } else if (const auto *demand = std::get_if<key_demand>(&message)) {
+        m_seat.asked(*demand, now);
     } else if (const auto *draw = std::get_if<peer_draw>(&message)) {
         if (const auto grant = m_tokens.serve(draw->draw, now)) {
             m_socket.send(fromIp, *grant);
@@ -245,19 +245,19 @@
     }
 }
 
-void node::sendAskedKeys(time_point now)
+void node::sendDemand(time_point now)
 {
-    const asked_keys asked{m_router.takeAskedKeys()};
-    if (asked.keys.empty()) {
+    const key_demand demand = m_router.takeDemand();
+    if (demand.empty()) {
         return;
     }
     if (m_seat.keeping(now)) {
-        m_seat.asked(asked, now);
+        m_seat.asked(demand, now);
         return;
     }
     for (const auto &[name, peer] : m_peers.all()) {
         if (peer.beat.keeper && peer_book::alive(peer, now)) {
-            m_socket.send(peer.beat.ip, asked);
+            m_socket.send(peer.beat.ip, demand);
             return;
         }
     }
@@ -419,6 +419,12 @@
     m_targets.setDeployment(*news.config);
     m_seat.setDeployment(*news.config);
     m_log.write(log_line("reload").add("version", news.config->version).add("from", current));
+    for (const auto &[team, settings] : news.config->teams) {
+        m_log.write(log_line("limit")
+                        .add("team", team.str())
+                        .add("rate", settings.rate)
+                        .add("burst", settings.burst));
+    }
 }
 
 void node::applyOut()
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -65,7 +65,7 @@
     void takeOwners(const owner_update &update);
     void publishOwners(const owner_update &update);
     void sendDraws();
-    void sendAskedKeys(time_point now);
+    void sendDemand(time_point now);
     void sendOrder(const range_order &order, const std::string &address,
                    keeper_seat::order_callback done);
     std::optional<fleet_limit> limitOf(std::string_view name) const;
@@ -103,7 +103,6 @@
     owner_update m_owners;
     std::string m_ownersBytes;
     int m_beatCount = 0;
-    std::map<service_id, std::vector<shard_key>> m_unsentKeys;
     time_point m_storeGoodAt{}; ///< the last good answer of the store
     time_point m_storeBackAt{}; ///< the first good answer after an outage
     bool m_storeLost = false;
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -30,13 +30,17 @@
         return {"m", m.version, std::move(services)};
     }
     json operator()(const owner_query &m) const { return {"q", m.from}; }
-    json operator()(const asked_keys &m) const
+    json operator()(const key_demand &m) const
     {
         json services = json::object();
         for (const auto &[service, keys] : m.keys) {
             services[service.str()] = keys;
         }
-        return {"y", std::move(services)};
+        json work = json::object();
+        for (const auto &[target, sample] : m.work) {
+            work[target] = {sample.count, sample.millis};
+        }
+        return {"y", std::move(services), std::move(work)};
     }
     json operator()(const peer_draw &m) const
     {
@@ -93,12 +97,15 @@
     return m;
 }
 
-asked_keys decodeAsked(const json &a)
+key_demand decodeDemand(const json &a)
 {
-    asked_keys m;
+    key_demand m;
     for (const auto &[service, keys] : a.at(1).items()) {
         m.keys[service_id(service)] = keys.get<std::vector<shard_key>>();
     }
+    for (const auto &[target, sample] : a.at(2).items()) {
+        m.work[target] = {sample.at(0), sample.at(1)};
+    }
     return m;
 }
 
@@ -125,7 +132,7 @@
         return owner_query{a.at(1)};
     }
     if (type == "y") {
-        return decodeAsked(a);
+        return decodeDemand(a);
     }
     if (type == "d") {
         return decodeDraw(a);
--- a/src/Node/peer_message.h
+++ b/src/Node/peer_message.h
@@ -6,6 +6,7 @@
 #include "../Admission/token_desk.h"
 #include "../Core/ids.h"
 #include "../Fleet/peer_book.h"
+#include "../Ranges/key_demand.h"
 #include "../Ranges/range_map.h"
 
 #include <map>
@@ -30,12 +31,6 @@
     std::string from;
 };
 
-/// Keys that callers asked a VM for, sent to the keeper.
-struct asked_keys
-{
-    std::map<service_id, std::vector<shard_key>> keys;
-};
-
 /// A draw of tokens, with the VM that wants them.
 struct peer_draw
 {
@@ -44,7 +39,7 @@
 };
 
 using peer_message =
-    std::variant<peer_beat, owner_update, owner_query, asked_keys, peer_draw, token_grant>;
+    std::variant<peer_beat, owner_update, owner_query, key_demand, peer_draw, token_grant>;
 
 /// \returns \a message as a datagram.
 std::string encodeMessage(const peer_message &message);
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -14,8 +14,12 @@
 constexpr milliseconds leastWork{40};
 /// The way back to the caller: an answer is owed this much before the caller's time is up.
 constexpr milliseconds returnTrip{10};
-/// How long a request waits for tokens of its team's limit before it is refused.
+/// How long a request waits for a bank's answer before it is refused: the life of a draw, after
+/// which another is made.
 constexpr milliseconds mostTokenWait{350};
+/// A team over its limit is asked to come back after this time: two or three tokens of a small
+/// team's rate.
+constexpr milliseconds overLimitRetryAfter{500};
 /// The pause before a request is sent again to the same owner of its key.
 constexpr milliseconds ownerPause{60};
 /// How long a request waits for news of an owner that has gone.
@@ -190,7 +194,7 @@
             return false;
         }
         m_key = static_cast<shard_key>(value);
-        m_router.m_asked[m_service].push_back(*m_key);
+        m_router.m_demand.keys[m_service].push_back(*m_key);
         return true;
     }
 
@@ -204,8 +208,8 @@
             m_paid = true;
             return true;
         }
-        if (now >= m_exchange->arrivedAt() + mostTokenWait) {
-            refuse(429, "team over its limit", milliseconds(500));
+        if (m_bankAnswered || now >= m_exchange->arrivedAt() + mostTokenWait) {
+            refuse(429, "team over its limit", overLimitRetryAfter);
             return false;
         }
         waitForToken(m_limit, m_exchange->arrivedAt() + mostTokenWait);
@@ -216,6 +220,7 @@
     {
         m_router.m_tokens.waitFor(limit, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
+                self->m_bankAnswered = true;
                 self->proceed();
             }
         });
@@ -300,6 +305,7 @@
     bool payWarmup(const target_state &target, time_point now)
     {
         const std::string limit = "cold/" + target.record.name;
+        m_bankAnswered = false; // That was the team's bank, if any.
         if (m_router.m_tokens.trySpend(limit, now)) {
             return true;
         }
@@ -320,6 +326,7 @@
         m_sending = true;
         m_target = target.record.name;
         m_sentAt = now;
+        m_sentToIdle = target_book::expectedLoad(target, now) < target.record.slots;
         target_book::started(target);
         outgoing_call call;
         call.peer = m_target;
@@ -386,6 +393,9 @@
         }
         ++m_runs;
         const bool good = status / 100 == 2;
+        if (good && m_key) {
+            noteWork(target, now);
+        }
         const bool genuine = result.answer.count(beastView(m_router.m_names.proof)) != 0
             && result.answer.count(http::field::content_encoding) == 0;
         if (target) {
@@ -406,6 +416,16 @@
         deliver(std::move(result.answer), "answered");
     }
 
+    /// Notes how long the target worked, if the request surely did not queue.
+    void noteWork(const target_state *target, time_point now)
+    {
+        if (target && m_sentToIdle && target->load.waiting == 0) {
+            work_sample &sample = m_router.m_demand.work[m_target];
+            ++sample.count;
+            sample.millis += toMillis(now - m_sentAt);
+        }
+    }
+
     void readReports(target_state &target, const http_answer &answer, time_point now)
     {
         const header_names &names = m_router.m_names;
@@ -647,7 +667,9 @@
     int m_runs = 0; ///< sends that were run or may have been
     int m_turnedAway = 0;
     bool m_paid = false;
+    bool m_bankAnswered = false;
     bool m_sending = false;
+    bool m_sentToIdle = false;
     bool m_mayHaveRun = false;
     bool m_done = false;
 };
@@ -731,9 +753,9 @@
     return *budget;
 }
 
-std::map<service_id, std::vector<shard_key>> request_router::takeAskedKeys()
+key_demand request_router::takeDemand()
 {
-    return std::exchange(m_asked, {});
+    return std::exchange(m_demand, {});
 }
 
 } // namespace damaskward
--- a/src/Proxy/request_router.h
+++ b/src/Proxy/request_router.h
@@ -7,6 +7,7 @@
 #include "../Fleet/deployment.h"
 #include "../Fleet/part_picker.h"
 #include "../Fleet/target_book.h"
+#include "../Ranges/key_demand.h"
 #include "../Ranges/range_map.h"
 #include "../Routing/retry_budget.h"
 #include "deadline_queue.h"
@@ -61,8 +62,8 @@
     /// \param share repeated sends per request \param slack beyond that, for this VM
     void setRetryLimits(double share, double slack);
 
-    /// \returns the keys asked for since the last call, by service.
-    std::map<service_id, std::vector<shard_key>> takeAskedKeys();
+    /// \returns the demand for keys since the last call.
+    key_demand takeDemand();
 
     /// \returns how many requests are under way.
     std::size_t underWay() const { return m_flows.size(); }
@@ -89,7 +90,7 @@
     std::map<service_id, std::unique_ptr<retry_budget>> m_budgets;
     double m_retryShare = 0.0;
     double m_retrySlack = 0.0;
-    std::map<service_id, std::vector<shard_key>> m_asked;
+    key_demand m_demand;
     std::set<flow_ptr> m_flows;
     std::vector<std::weak_ptr<internal::request_flow>> m_parked;
     bool m_stale = false;
--- a/src/Ranges/key_load.h
+++ b/src/Ranges/key_load.h
@@ -59,7 +59,7 @@
 private:
     /// Requests older than a few of these no longer count: long enough for some hundred requests,
     /// short enough to follow a run of hot keys.
-    static constexpr double decaySeconds = 3.0;
+    static constexpr double decaySeconds = 5.0;
 
     double growth(time_point now) const
     {
--- a/test/support/range_world.cpp
+++ b/test/support/range_world.cpp
@@ -248,7 +248,7 @@
     /// Hot neighbours, so that keys keep changing hands.
     void askKeys(world_vm &vm)
     {
-        asked_keys keys;
+        key_demand keys;
         // The run of hot keys moves on, until the calm.
         const duration hotTime = std::min<duration>(m_now - worldStart, faultsEnd);
         const int hotStart = static_cast<int>(hotTime / seconds(8)) * 6000;
