Keys by the square-root rule: fast targets first while there is room

Cause: parts in proportion to speed leave slow targets with answers beyond the objective although fast ones have room. Change: a target's part is its capacity less spare capacity in proportion to its root.

--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -157,7 +157,7 @@
         }
         owner_view view;
         view.incarnation = t.record.incarnation;
-        view.capacity = t.record.slots * m_work.speedOf(name);
+        view.capacity = t.record.slots * m_work.rateOf(name);
         view.reachable = t.listed;
         view.mayOwn = t.leavingSince == time_point{};
         view.cold = target_book::cold(t, now);
--- a/src/Ranges/key_load.h
+++ b/src/Ranges/key_load.h
@@ -56,11 +56,11 @@
     /// \returns the requests for one key, as of() does.
     double ofKey(shard_key key, time_point now) const { return m_counts[key] / growth(now); }
 
-private:
     /// Requests older than a few of these no longer count: long enough for some hundred requests,
     /// short enough to follow a run of hot keys.
     static constexpr double decaySeconds = 5.0;
 
+private:
     double growth(time_point now) const
     {
         return std::exp(std::chrono::duration<double>(now - m_unitAt).count() / decaySeconds);
--- a/src/Ranges/range_planner.cpp
+++ b/src/Ranges/range_planner.cpp
@@ -15,6 +15,10 @@
 /// A target with less than this share of its part gets keys even if none is over its bound: it
 /// has joined, or has come back.
 constexpr double starvedShare = 0.4;
+/// The square-root rule starves slow targets at low load: it is applied as if the targets were
+/// used at least this much, and leaves each this share of what it would get by capacity.
+constexpr double leastUtilisation = 0.35;
+constexpr double leastShare = 0.15;
 /// Moves smaller than this share of a target's part are not worth a change of hands.
 constexpr double leastMove = 0.15;
 
@@ -22,12 +26,13 @@
 {
     const owner_candidate *target = nullptr;
     double load = 0.0;
+    double share = 1.0; ///< of the whole load, that it should carry
     std::vector<key_range> pieces;
 };
 
 bool lighter(const carrier &a, const carrier &b)
 {
-    return a.load / a.target->capacity < b.load / b.target->capacity;
+    return a.load / a.share < b.load / b.share;
 }
 
 class planning
@@ -41,7 +46,7 @@
         std::map<std::string, std::size_t, std::less<>> index;
         for (const owner_candidate &c : candidates) {
             index[c.name] = m_carriers.size();
-            m_carriers.push_back({&c, 0.0, {}});
+            m_carriers.push_back({&c, 0.0, 1.0, {}});
             m_capacity += c.capacity;
         }
         for (const range_owner &owner : owners) {
@@ -53,6 +58,7 @@
                 m_carriers[it->second].pieces.push_back(owner.keys);
             }
         }
+        shareOut();
     }
 
     std::vector<planned_move> run(std::size_t mostMoves)
@@ -81,7 +87,28 @@
         return m_load.of(keys, m_now) + priorLoad * keys.size() / keyCount;
     }
 
-    double partOf(const carrier &c) const { return m_total * c.target->capacity / m_capacity; }
+    double partOf(const carrier &c) const { return m_total * c.share; }
+
+    /// Gives every carrier its share of the load by the square-root rule.
+    void shareOut()
+    {
+        double roots = 0.0;
+        for (const carrier &c : m_carriers) {
+            roots += std::sqrt(c.target->capacity);
+        }
+        const double rate =
+            std::max(m_total / key_load::decaySeconds, leastUtilisation * m_capacity);
+        const double spare = std::max(0.0, m_capacity - rate) / roots;
+        double sum = 0.0;
+        for (carrier &c : m_carriers) {
+            const double capacity = c.target->capacity;
+            c.share = std::max(capacity - spare * std::sqrt(capacity), leastShare * capacity);
+            sum += c.share;
+        }
+        for (carrier &c : m_carriers) {
+            c.share /= sum;
+        }
+    }
 
     /// Takes a run from the front of the heaviest piece.
     bool moveSome(carrier &from, carrier &to, double amount, std::vector<planned_move> &moves)
--- a/src/Ranges/range_planner.h
+++ b/src/Ranges/range_planner.h
@@ -16,7 +16,7 @@
 {
     std::string name;
     std::int64_t incarnation = 0;
-    double capacity = 1.0; ///< relative to the other targets
+    double capacity = 1.0; ///< requests a second that it gets done
 };
 
 /// A run of keys that should change hands.
@@ -31,8 +31,12 @@
 /// \brief Moves runs of keys from the most to the least loaded target until all are near their
 /// part. Without state or I/O.
 ///
-/// Answers two patterns: a run of hot neighbours, which is cut into pieces over many targets, and
-/// targets that join without keys.
+/// A target's part follows the square-root rule for queues of unequal speed: what a target can do
+/// less spare capacity in proportion to its root. So at low load the fast targets, which answer
+/// sooner, get most; near overload the parts are proportional to capacity.
+///
+/// Answers three patterns: targets of unequal speed, a run of hot neighbours, which is cut into
+/// pieces over many targets, and targets that join without keys.
 ///
 /// \code
 /// for (const planned_move &move : planMoves(owners, load, candidates, 8, now))
--- a/src/Ranges/work_times.h
+++ b/src/Ranges/work_times.h
@@ -21,7 +21,7 @@
 /// \code
 /// work_times work;
 /// work.add("t1", {3, 450});
-/// double capacity = slots * work.speedOf("t1");
+/// double capacity = slots * work.rateOf("t1");
 /// \endcode
 class work_times
 {
@@ -45,18 +45,20 @@
         }
     }
 
-    /// \returns the target's speed relative to the mean of all, within bounds; 1 when unknown.
-    double speedOf(std::string_view target) const
+    /// \returns how many requests a second one slot of the target gets done.
+    double rateOf(std::string_view target) const
     {
+        constexpr double millisPerSecond = 1000.0;
+        const double mean =
+            m_total.count < priorSamples ? unknownMillis : m_total.millis / m_total.count;
         const auto it = m_targets.find(target);
-        if (it == m_targets.end() || m_total.count < priorSamples) {
-            return 1.0;
+        if (it == m_targets.end()) {
+            return millisPerSecond / mean;
         }
-        const double mean = m_total.millis / m_total.count;
         // Few samples count little: the target is taken for an average one.
         const double own =
             (it->second.millis + priorSamples * mean) / (it->second.count + priorSamples);
-        return std::clamp(mean / std::max(own, 1.0), leastSpeed, mostSpeed);
+        return millisPerSecond / std::clamp(own, mean * leastRatio, mean * mostRatio);
     }
 
 private:
@@ -64,8 +66,11 @@
     static constexpr double priorSamples = 6.0;
     /// Samples that count at most, so that a target that has become slow shows within seconds.
     static constexpr double mostSamples = 40.0;
-    static constexpr double leastSpeed = 0.2;
-    static constexpr double mostSpeed = 3.0;
+    /// Bounds on a target's answer time relative to the mean of all.
+    static constexpr double leastRatio = 0.3;
+    static constexpr double mostRatio = 5.0;
+    /// Assumed before there are samples.
+    static constexpr double unknownMillis = 150.0;
 
     struct entry
     {
