--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -32,6 +32,7 @@
 {
     peer_beat beat;
     time_point heardAt{};
+    std::uint64_t hash = 0; ///< of its name
 };
 
 /// \class peer_book
@@ -46,13 +47,14 @@
 {
 public:
     /// A VM silent for this long is passed over: three heartbeats between data centres.
-    static constexpr milliseconds aliveTime{1600};
+    static constexpr milliseconds aliveTime{2000};
     /// A VM silent for this long no longer counts as one that may still be acting somewhere:
     /// longer than any cut that its share of a limit must be kept back for.
     static constexpr milliseconds knownTime{20000};
 
     explicit peer_book(std::string self)
         : m_self(std::move(self))
+        , m_selfHash(keyHash(m_self))
     { }
 
     const std::string &self() const { return m_self; }
@@ -65,6 +67,7 @@
         if (beat.incarnation >= peer.beat.incarnation) {
             peer.beat = beat;
             peer.heardAt = now;
+            peer.hash = keyHash(beat.name);
         }
         return fresh;
     }
@@ -105,12 +108,12 @@
     {
         const std::uint64_t hash = keyHash(duty);
         const std::string *best = &m_self;
-        std::uint64_t bestScore = combineHash(hash, keyHash(m_self));
+        std::uint64_t bestScore = combineHash(hash, m_selfHash);
         for (const auto &[name, peer] : m_peers) {
             if (!alive(peer, now) || peer.beat.leaving) {
                 continue;
             }
-            const std::uint64_t score = combineHash(hash, keyHash(name));
+            const std::uint64_t score = combineHash(hash, peer.hash);
             if (score > bestScore) {
                 best = &name;
                 bestScore = score;
@@ -123,10 +126,10 @@
     int rankFor(std::string_view duty, time_point now) const
     {
         const std::uint64_t hash = keyHash(duty);
-        const std::uint64_t own = combineHash(hash, keyHash(m_self));
+        const std::uint64_t own = combineHash(hash, m_selfHash);
         int rank = 0;
         for (const auto &[name, peer] : m_peers) {
-            if (alive(peer, now) && !peer.beat.leaving && combineHash(hash, keyHash(name)) > own) {
+            if (alive(peer, now) && !peer.beat.leaving && combineHash(hash, peer.hash) > own) {
                 ++rank;
             }
         }
@@ -135,6 +138,7 @@
 
 private:
     std::string m_self;
+    std::uint64_t m_selfHash;
     std::map<std::string, peer_state> m_peers;
 };
 
--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -21,8 +21,9 @@
 constexpr double reportAgeMillis = 300.0;
 /// Assumed answer time of a target that has not answered yet.
 constexpr double unknownWorkMillis = 150.0;
-/// A cross-data-centre answer must be expected this much sooner to be worth its bytes.
-constexpr double farPenaltyMillis = 4.0;
+/// A cross-data-centre answer must be expected this much sooner to be worth its bytes: a tenth of
+/// the usual work, and for downloads their whole objective.
+constexpr double farPenaltyMillis = 15.0;
 constexpr double farDownloadPenaltyMillis = 400.0;
 
 } // namespace
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -104,8 +104,8 @@
 
 bool keeper_seat::otherKeeperAlive(time_point now) const
 {
-    // Shorter than the general bound: keys wait for the next keeper.
-    constexpr milliseconds keeperSilence{900};
+    // Two heartbeats between data centres: keys wait for the next keeper.
+    constexpr milliseconds keeperSilence{1300};
     for (const auto &[name, peer] : m_peers.all()) {
         if (peer.beat.keeper && !peer.beat.leaving && now < peer.heardAt + keeperSilence) {
             return true;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -8,9 +8,10 @@
 namespace damaskward {
 namespace {
 
-/// Heartbeats inside the data centre; every fourth goes to the others too.
+/// Heartbeats inside the data centre; every third goes to the others too, for bytes between data
+/// centres are dear.
 constexpr milliseconds beatPause{200};
-constexpr int farBeatEvery = 2;
+constexpr int farBeatEvery = 3;
 constexpr milliseconds keeperPause{50};
 constexpr milliseconds logPause{200};
 /// Readings of the registry: well inside the two seconds that a leaving target allows.
@@ -121,7 +122,11 @@
 {
     const time_point now = mono_clock::now();
     m_peers.expire(now);
-    updateLimits(now);
+    sumInFlight(now);
+    constexpr int limitsEvery = 5;
+    if (m_beatCount % limitsEvery == 0) {
+        updateLimits(now);
+    }
     sendDemand(now);
     sendBeats();
     sendDraws();
@@ -146,18 +151,21 @@
             beat.inFlight[name] = t.inFlight;
         }
     }
-    const std::string bytes = encodeMessage(beat);
+    const std::string nearBytes = encodeMessage(beat);
+    beat.inFlight.clear(); // Out of date when it gets there.
+    const std::string farBytes = encodeMessage(beat);
     const bool far = ++m_beatCount % farBeatEvery == 0 || m_draining;
     std::set<std::string> sent{m_environment.ip};
     for (const auto &[name, peer] : m_peers.all()) {
-        if ((far || peer.beat.dataCenter == beat.dataCenter) && sent.insert(peer.beat.ip).second) {
-            m_socket.sendBytes(peer.beat.ip, bytes);
+        const bool near = peer.beat.dataCenter == beat.dataCenter;
+        if ((far || near) && sent.insert(peer.beat.ip).second) {
+            m_socket.sendBytes(peer.beat.ip, near ? nearBytes : farBytes);
         }
     }
     if (m_peers.all().empty()) {
         for (const std::string &ip : m_environment.seedIps) {
             if (sent.insert(ip).second) {
-                m_socket.sendBytes(ip, bytes);
+                m_socket.sendBytes(ip, farBytes);
             }
         }
     }
@@ -214,6 +222,10 @@
     if (beat.configVersion > version) {
         fetchConfig(fromIp);
     }
+}
+
+void node::sumInFlight(time_point now)
+{
     std::map<std::string, int> elsewhere;
     for (const auto &[name, peer] : m_peers.all()) {
         if (peer_book::alive(peer, now)) {
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -50,6 +50,7 @@
     void begin();
     void beatTick();
     void sendBeats();
+    void sumInFlight(time_point now);
     void keeperTick();
     void logTick();
     void readOperators();
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -9,6 +9,54 @@
 
 // Every message is a CBOR array: a letter for its type, then its fields in order.
 
+// A map of owners is the list of its targets' names, then for each run of keys its end, the place
+// of its target in the list, and the wait: each update goes to every VM, also far ones.
+
+json encodeMap(const range_map &map)
+{
+    json names = json::array();
+    json runs = json::array();
+    std::map<std::string_view, std::size_t> places;
+    int next = 0;
+    const auto placeOf = [&](const std::string &name) {
+        const auto [it, added] = places.emplace(name, places.size());
+        if (added) {
+            names.push_back(name);
+        }
+        return it->second;
+    };
+    const auto addRun = [&](int last, const std::string &name, milliseconds wait) {
+        runs.insert(runs.end(), {last, placeOf(name), wait.count()});
+    };
+    static const std::string nobody;
+    for (const range_owner &o : map.owners) {
+        if (next < o.keys.first) {
+            addRun(o.keys.first - 1, nobody, milliseconds(0));
+        }
+        addRun(o.keys.last, o.target, o.wait);
+        next = o.keys.last + 1;
+    }
+    return {std::move(names), std::move(runs)};
+}
+
+range_map decodeMap(const json &a)
+{
+    const auto names = a.at(0).get<std::vector<std::string>>();
+    const json &runs = a.at(1);
+    range_map map;
+    int next = 0;
+    constexpr std::size_t fieldsPerRun = 3;
+    for (std::size_t i = 0; i + fieldsPerRun <= runs.size(); i += fieldsPerRun) {
+        range_owner o;
+        o.keys = {static_cast<shard_key>(next), runs.at(i).get<shard_key>()};
+        o.target = names.at(runs.at(i + 1).get<std::size_t>());
+        o.wait = milliseconds(runs.at(i + 2).get<std::int64_t>());
+        next = o.keys.last + 1;
+        map.owners.push_back(std::move(o));
+    }
+    return map;
+}
+
 struct encode_visitor
 {
     json operator()(const peer_beat &m) const
@@ -20,12 +68,7 @@
     {
         json services = json::object();
         for (const auto &[service, map] : m.maps) {
-            json owners = json::array();
-            for (const range_owner &o : map.owners) {
-                owners.push_back(
-                    {o.keys.first, o.keys.last, o.target, o.incarnation, o.fence, o.wait.count()});
-            }
-            services[service.str()] = std::move(owners);
+            services[service.str()] = encodeMap(map);
         }
         return {"m", m.version, std::move(services)};
     }
@@ -81,18 +124,8 @@
 {
     owner_update m;
     m.version = a.at(1);
-    for (const auto &[service, owners] : a.at(2).items()) {
-        range_map map;
-        for (const json &item : owners) {
-            range_owner o;
-            o.keys = {item.at(0).get<shard_key>(), item.at(1).get<shard_key>()};
-            o.target = item.at(2);
-            o.incarnation = item.at(3);
-            o.fence = item.at(4);
-            o.wait = milliseconds(item.at(5).get<std::int64_t>());
-            map.owners.push_back(std::move(o));
-        }
-        m.maps[service_id(service)] = std::move(map);
+    for (const auto &[service, map] : a.at(2).items()) {
+        m.maps[service_id(service)] = decodeMap(map);
     }
     return m;
 }
--- a/src/Node/peer_message.h
+++ b/src/Node/peer_message.h
@@ -18,7 +18,8 @@
 
 namespace damaskward {
 
-/// The owners of all keys, as the keeper publishes them.
+/// The owners of all keys, as the keeper publishes them: without lives and fences, which concern
+/// the keeper alone.
 struct owner_update
 {
     std::uint64_t version = 0; ///< rises; a later keeper's versions are above all earlier ones
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -599,7 +599,7 @@
         if (!id.empty()) {
             answer.set(beastView(m_router.m_names.requestId), id);
         }
-        logOutcome(answer.result_int(), reason);
+        logOutcome(answer.result_int(), reason, answer.body().size());
         close();
         m_exchange->answer(std::move(answer));
     }
@@ -621,7 +621,7 @@
                                  .add("ms", toMillis(now - m_sentAt)));
     }
 
-    void logOutcome(unsigned status, const char *reason)
+    void logOutcome(unsigned status, const char *reason, std::size_t bytes = 0)
     {
         const time_point now = mono_clock::now();
         log_line line("request");
@@ -629,15 +629,21 @@
             .add("status", status)
             .add("reason", reason)
             .add("ms", toMillis(now - m_exchange->arrivedAt()))
+            .add("bytes", bytes)
             .add("config", m_config ? m_config->version : 0);
         if (m_route) {
-            line.add("route", m_route->name).add("service", m_service.str());
+            line.add("route", m_route->name)
+                .add("service", m_service.str())
+                .add("kind", static_cast<int>(m_route->kind));
         }
         if (!m_team.empty()) {
             line.add("team", m_team.str());
         }
         if (!m_target.empty()) {
-            line.add("target", m_target).add("runs", m_runs);
+            const target_state *target = m_router.m_targets.find(m_target);
+            line.add("target", m_target)
+                .add("runs", m_runs)
+                .add("dataCenter", target ? target->record.dataCenter.str() : "gone");
         }
         if (m_key) {
             line.add("key", *m_key);
