Shorter holds; the lapse of a keeper's lease timed from its heartbeats

Change: holds of 2.4 s renewed every 0.6 s; a keeper's heartbeat names the version of its row, so its successor needs no second lease time; holds are lengthened when a renewal is overdue, also when the store is silent; change of hands is logged.

--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -22,7 +22,7 @@
     std::int64_t incarnation = 0; ///< when its process began, in milliseconds since 1970
     std::uint64_t configVersion = 0;
     std::uint64_t mapVersion = 0; ///< of the map of owners it goes by
-    bool keeper = false; ///< it grants keys to targets
+    std::uint64_t keeperVersion = 0; ///< of its lease's row if it grants keys to targets, else 0
     bool leaving = false; ///< it is about to stop
     std::map<std::string, int> inFlight; ///< its unanswered requests by target
 };
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -9,9 +9,6 @@
 
 constexpr const char *seatRow = "keeper";
 constexpr const char *keeperDuty = "keeper";
-/// The holds are lengthened when the store has not taken a renewal for this long, or when this
-/// much of the lease is left.
-constexpr milliseconds quietTime{700};
 /// Updates of later holders are above those of earlier ones.
 constexpr unsigned epochShift = 32;
 
@@ -104,10 +101,11 @@
 
 bool keeper_seat::otherKeeperAlive(time_point now) const
 {
-    // Two heartbeats between data centres: keys wait for the next keeper.
-    constexpr milliseconds keeperSilence{1300};
+    // Three heartbeats of a keeper: keys wait for the next one.
+    constexpr milliseconds keeperSilence{700};
     for (const auto &[name, peer] : m_peers.all()) {
-        if (peer.beat.keeper && !peer.beat.leaving && now < peer.heardAt + keeperSilence) {
+        if (peer.beat.keeperVersion != 0 && !peer.beat.leaving
+            && now < peer.heardAt + keeperSilence) {
             return true;
         }
     }
@@ -124,6 +122,11 @@
     if (m_keyed.empty() || m_leaving) {
         return;
     }
+    for (const auto &[name, peer] : m_peers.all()) {
+        if (peer.beat.keeperVersion != 0) {
+            m_lease.heardVersion(peer.beat.keeperVersion, peer.heardAt);
+        }
+    }
     const bool kept = !m_keepers.empty();
     const lease_action action =
         m_lease.step(otherKeeperAlive(now), m_peers.rankFor(keeperDuty, now), now);
@@ -182,8 +185,7 @@
             m_lease.hurry(now);
         }
     }
-    const bool failing = m_failingSince != time_point{} && now >= m_failingSince + quietTime;
-    if (failing && !m_heldOver) {
+    if (m_lease.renewalOverdue(now) && !m_heldOver) {
         m_heldOver = true;
         m_log.write(log_line("hold over").add("reason", "store does not take renewals"));
         for (const auto &[service, keeper] : m_keepers) {
@@ -201,6 +203,7 @@
         keeper->ended(numberOf(order), order_outcome::Unanswered, {}, m_clock());
         return;
     }
+    std::visit([this](const auto &o) { logChange(o); }, order);
     const std::weak_ptr<range_keeper> weak = keeper;
     m_send(order, address->second, [this, weak, order](const order_answer &answer) {
         if (answer.outcome != order_outcome::Done) {
@@ -215,6 +218,29 @@
     });
 }
 
+void keeper_seat::logChange(const grant_order &order)
+{
+    std::uint64_t &known = m_loggedFences[order.target];
+    if (order.fence > known) {
+        known = order.fence;
+        m_log.write(log_line("grant")
+                        .add("target", order.target)
+                        .add("first", order.keys.first)
+                        .add("last", order.keys.last)
+                        .add("fence", order.fence)
+                        .add("warm", !order.handover.empty()));
+    }
+}
+
+void keeper_seat::logChange(const release_order &order)
+{
+    m_log.write(log_line("release")
+                    .add("target", order.target)
+                    .add("first", order.keys.first)
+                    .add("last", order.keys.last)
+                    .add("fence", order.fence));
+}
+
 void keeper_seat::readRow(time_point)
 {
     m_lease.sent();
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -56,6 +56,8 @@
     void leave(time_point now);
 
     bool keeping(time_point now) const { return m_lease.held(now); }
+    /// \returns the version of the last renewal while this VM keeps the keys, else 0.
+    row_version keptVersion(time_point now) const { return keeping(now) ? m_lease.version() : 0; }
 
 private:
     /// The lease's row as read or written.
@@ -75,6 +77,8 @@
     owner_views viewsOf(const service_id &service, time_point now);
     void runKeepers(time_point now);
     void sendOrder(const range_order &order, const std::shared_ptr<range_keeper> &keeper);
+    void logChange(const grant_order &order);
+    void logChange(const release_order &order);
     void readRow(time_point now);
     void claim(time_point now);
     void renew(time_point now);
@@ -104,6 +108,7 @@
     std::map<service_id, std::shared_ptr<range_keeper>> m_keepers; ///< empty while not keeping
     std::map<service_id, std::uint64_t> m_published; ///< revisions
     work_times m_work;
+    std::map<std::string, std::uint64_t> m_loggedFences; ///< the highest by target
     std::map<std::string, std::string, std::less<>> m_addresses; ///< of targets, also gone ones
     std::uint64_t m_updateVersion = 0;
     time_point m_failingSince{}; ///< of writes to the store
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -31,7 +31,7 @@
 constexpr milliseconds drainAccept{2300};
 constexpr milliseconds drainMargin{500};
 /// A grant is answered within some milliseconds; a release takes as long as the work that runs.
-constexpr milliseconds grantTimeout{400};
+constexpr milliseconds grantTimeout{300};
 constexpr milliseconds releaseTimeout{1500};
 constexpr const char *vmRowPrefix = "vm/";
 constexpr const char *configPath = "/config";
@@ -144,7 +144,7 @@
     beat.incarnation = m_incarnation;
     beat.configVersion = m_router.config() ? m_router.config()->version : 0;
     beat.mapVersion = m_owners.version;
-    beat.keeper = m_seat.keeping(mono_clock::now());
+    beat.keeperVersion = m_seat.keptVersion(mono_clock::now());
     beat.leaving = m_draining;
     for (const auto &[name, t] : m_targets.all()) {
         if (t.inFlight > 0) {
@@ -154,7 +154,7 @@
     const std::string nearBytes = encodeMessage(beat);
     beat.inFlight.clear(); // Out of date when it gets there.
     const std::string farBytes = encodeMessage(beat);
-    const bool far = ++m_beatCount % farBeatEvery == 0 || m_draining;
+    const bool far = ++m_beatCount % farBeatEvery == 0 || m_draining || beat.keeperVersion != 0;
     std::set<std::string> sent{m_environment.ip};
     for (const auto &[name, peer] : m_peers.all()) {
         const bool near = peer.beat.dataCenter == beat.dataCenter;
@@ -268,7 +268,7 @@
         return;
     }
     for (const auto &[name, peer] : m_peers.all()) {
-        if (peer.beat.keeper && peer_book::alive(peer, now)) {
+        if (peer.beat.keeperVersion != 0 && peer_book::alive(peer, now)) {
             m_socket.send(peer.beat.ip, demand);
             return;
         }
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -61,8 +61,9 @@
 {
     json operator()(const peer_beat &m) const
     {
-        return {"b",          m.name,   m.dataCenter, m.ip,      m.incarnation, m.configVersion,
-                m.mapVersion, m.keeper, m.leaving,    m.inFlight};
+        return {"b",           m.name,          m.dataCenter, m.ip,
+                m.incarnation, m.configVersion, m.mapVersion, m.keeperVersion,
+                m.leaving,     m.inFlight};
     }
     json operator()(const owner_update &m) const
     {
@@ -114,7 +115,7 @@
     m.incarnation = a.at(4);
     m.configVersion = a.at(5);
     m.mapVersion = a.at(6);
-    m.keeper = a.at(7);
+    m.keeperVersion = a.at(7);
     m.leaving = a.at(8);
     m.inFlight = a.at(9).get<std::map<std::string, int>>();
     return m;
--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -16,6 +16,7 @@
     milliseconds lease{1600}; ///< from the sending of a renewal
     milliseconds renewAfter{500}; ///< so that two renewals may fail
     milliseconds readAfter{400}; ///< between two looks at another VM's lease
+    milliseconds overdueAfter{1000}; ///< leaves time to lengthen the grants while it is held
     milliseconds rankDelay{300}; ///< a VM lets those before it try first
 };
 
@@ -44,6 +45,12 @@
         : m_timing(timing)
     { }
 
+    /// \returns whether the lease is held but has not been renewed for too long: the store is away.
+    bool renewalOverdue(time_point now) const
+    {
+        return m_held && now >= m_leaseEnd - m_timing.lease + m_timing.overdueAfter;
+    }
+
     /// \param otherAlive another VM is known to hold the lease
     /// \param rank how many living VMs claim before this one
     lease_action step(bool otherAlive, int rank, time_point now)
@@ -60,17 +67,28 @@
             return now >= m_actAt ? lease_action::Renew : lease_action::None;
         }
         if (otherAlive) {
-            m_seen.reset();
             m_quietSince = now;
             return lease_action::None;
         }
         if (now < m_quietSince + rank * m_timing.rankDelay || now < m_actAt) {
             return lease_action::None;
         }
-        const bool free = m_seen && (m_free || now >= m_seenAt + m_timing.lease);
+        const bool known = m_seen && m_read == m_seen;
+        const bool free = known && (m_free || now >= m_seenAt + m_timing.lease);
         return free ? lease_action::Claim : lease_action::Read;
     }
 
+    /// The holder has said which version its last renewal has. So the time in which the row must
+    /// stay unchanged begins before it falls silent.
+    void heardVersion(row_version version, time_point now)
+    {
+        if (!m_held && !m_busy && (!m_seen || *m_seen < version)) {
+            m_seen = version;
+            m_seenAt = now;
+            m_free = false;
+        }
+    }
+
     /// A call for the row has been sent; until it ends nothing else is done.
     void sent() { m_busy = true; }
 
@@ -79,6 +97,7 @@
     void read(row_version version, bool free, time_point now)
     {
         m_busy = false;
+        m_read = version;
         if (!m_seen || *m_seen != version) {
             m_seen = version;
             m_seenAt = now;
@@ -130,6 +149,7 @@
     bool m_busy = false;
     bool m_free = false;
     std::optional<row_version> m_seen;
+    std::optional<row_version> m_read; ///< the version whose content is known
     time_point m_seenAt{}; ///< when the row was first seen at that version
     time_point m_quietSince{}; ///< since when no other keeper was heard
     time_point m_leaseEnd{};
--- a/src/Ranges/range_keeper.h
+++ b/src/Ranges/range_keeper.h
@@ -65,10 +65,10 @@
 /// Spans of the keeper's promises.
 struct keeper_timing
 {
-    milliseconds hold{3500}; ///< of a grant in calm times: how long a silent target's keys wait
-    milliseconds renewAfter{900}; ///< so that three renewals may fail
+    milliseconds hold{2400}; ///< of a grant in calm times: how long a silent target's keys wait
+    milliseconds renewAfter{600}; ///< leaves the next keeper a lease's time to take over
     milliseconds longHold{10000}; ///< while the platform's store is away
-    milliseconds retryAfter{300}; ///< of an order without an answer
+    milliseconds retryAfter{250}; ///< of an order without an answer
     milliseconds travel{250}; ///< the longest that an order is on its way
 };
 
--- a/test/support/range_world.cpp
+++ b/test/support/range_world.cpp
@@ -283,7 +283,7 @@
         peer_beat message;
         message.name = vm.name;
         message.incarnation = 1;
-        message.keeper = vm.seat->keeping(clockOf(vm));
+        message.keeperVersion = vm.seat->keptVersion(clockOf(vm));
         for (auto &other : m_vms) {
             constexpr double loss = 0.1;
             if (other.get() != &vm && draw() > loss) {
