Silent targets get no keys; a single hot key keeps its target; a full owner refuses at once

Change: a target that leaves orders unanswered is passed over; the planner moves the neighbours of a key that cannot be divided; a shed with a full queue ends in a refusal with the queue's drain time, one with room is tried again at once.

--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds overLimitRetryAfter{500};
 /// The pause before a request is sent again to the same owner of its key.
 constexpr milliseconds ownerPause{60};
+/// The pause before a request is sent again to an owner that turned it away with room to spare.
+constexpr milliseconds shedPause{5};
 /// How long a request waits for news of an owner that has gone.
 constexpr milliseconds mostOwnerWait{700};
 /// A leaving owner is still sent requests for its keys until they have changed hands, but not
@@ -439,6 +441,22 @@
         }
     }
 
+    static bool queueIsFull(const target_state &target)
+    {
+        return target.load.waiting >= target.record.slots;
+    }
+
+    /// \returns about how long the target takes to work off half of its queue.
+    static milliseconds drainTime(const target_state &target)
+    {
+        const double work = target.workMillis > 0.0 ? target.workMillis : 1.0;
+        const double queue = static_cast<double>(target.load.waiting) / target.record.slots;
+        constexpr double mostMillis = 400.0; // Callers come back within a third of their time.
+        return std::max(
+            usualRetryAfter,
+            milliseconds(static_cast<std::int64_t>(std::min(mostMillis, queue * work / 2.0))));
+    }
+
     /// The target said that it has not run the request.
     void turnedAway(unsigned status, target_state *target, time_point now)
     {
@@ -448,7 +466,13 @@
         }
         logTry(misdirected ? "misdirected" : "shed", now);
         if (m_key) {
-            const milliseconds pause = ownerPause * (1 + m_turnedAway);
+            if (!misdirected && target && queueIsFull(*target)) {
+                // Nothing but its owner can run it, and the queue takes a while to drain.
+                refuseUnlessRun(503, "owner is full", drainTime(*target));
+                return;
+            }
+            // Turned away with room to spare: the next try may well be taken.
+            const milliseconds pause = misdirected ? ownerPause * (1 + m_turnedAway) : shedPause;
             constexpr int mostOwnerTries = 3;
             if (++m_turnedAway > mostOwnerTries || now + pause + leastWork >= m_deadline
                 || !m_router.budgetOf(m_service).trySpend()) {
--- a/src/Ranges/range_keeper.cpp
+++ b/src/Ranges/range_keeper.cpp
@@ -69,7 +69,7 @@
     if (m_pieces.empty()) {
         std::vector<owner_candidate> candidates;
         for (const auto &[name, view] : views) {
-            if (view.reachable && view.mayOwn && !view.cold) {
+            if (eligible(name, view, now) && !view.cold) {
                 candidates.push_back({name, view.incarnation, view.capacity});
             }
         }
@@ -178,7 +178,7 @@
 {
     std::vector<owner_candidate> candidates;
     for (const auto &[name, view] : views) {
-        if (view.reachable && view.mayOwn && !view.cold) {
+        if (eligible(name, view, now) && !view.cold) {
             candidates.push_back({name, view.incarnation, view.capacity});
         }
     }
@@ -236,7 +236,7 @@
 {
     std::map<std::string, double, std::less<>> loads;
     for (const auto &[name, view] : views) {
-        if (view.reachable && view.mayOwn) {
+        if (eligible(name, view, now)) {
             loads[name] = 0.0;
         }
     }
@@ -317,6 +317,7 @@
     }
     piece &p = *it;
     p.order = 0;
+    noteAnswer(p.owner.target, outcome != order_outcome::Unanswered, now);
     if (p.state == phase::Releasing) {
         if (outcome == order_outcome::Unanswered) {
             p.dueAt = now + m_timing.retryAfter;
@@ -389,6 +390,26 @@
     }
 }
 
+void range_keeper::noteAnswer(const std::string &target, bool answered, time_point now)
+{
+    if (answered) {
+        m_silentSince.erase(target);
+    } else {
+        m_silentSince.emplace(target, now);
+    }
+}
+
+/// \returns whether \a target may get more keys. One that has left orders unanswered for longer
+/// than a repeat takes is passed over, until it answers or has been left alone for a while.
+bool range_keeper::eligible(const std::string &target, const owner_view &view, time_point now) const
+{
+    constexpr milliseconds passedOver{10000};
+    const auto silent = m_silentSince.find(target);
+    const bool answers = silent == m_silentSince.end() || now < silent->second + m_timing.retryAfter
+        || now >= silent->second + passedOver;
+    return view.reachable && view.mayOwn && answers;
+}
+
 bool range_keeper::wantsRecord() const
 {
     return std::any_of(m_pieces.begin(), m_pieces.end(),
--- a/src/Ranges/range_keeper.h
+++ b/src/Ranges/range_keeper.h
@@ -164,11 +164,14 @@
     void grant(piece &p, time_point now, std::vector<range_order> &orders);
     void release(piece &p, time_point now, std::vector<range_order> &orders);
     void mergeNeighbours();
+    void noteAnswer(const std::string &target, bool answered, time_point now);
+    bool eligible(const std::string &target, const owner_view &view, time_point now) const;
     void changed() { ++m_revision; }
     milliseconds upperBound(milliseconds hold) const;
 
     keeper_timing m_timing;
     std::vector<piece> m_pieces; ///< in the order of keys
+    std::map<std::string, time_point, std::less<>> m_silentSince; ///< targets that answer nothing
     key_load m_load;
     order_number m_lastOrder = 0;
     std::uint64_t m_revision = 1;
--- a/src/Ranges/range_planner.cpp
+++ b/src/Ranges/range_planner.cpp
@@ -1,7 +1,9 @@
 #include "range_planner.h"
 
+#include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 
 namespace damaskward {
 namespace {
@@ -21,6 +23,8 @@
 constexpr double leastShare = 0.15;
 /// Moves smaller than this share of a target's part are not worth a change of hands.
 constexpr double leastMove = 0.15;
+/// A run may exceed what should move by this factor.
+constexpr double mostOvershoot = 1.5;
 
 struct carrier
 {
@@ -64,20 +68,7 @@
     std::vector<planned_move> run(std::size_t mostMoves)
     {
         std::vector<planned_move> moves;
-        while (moves.size() < mostMoves && m_carriers.size() > 1) {
-            carrier &most = *std::max_element(m_carriers.begin(), m_carriers.end(), lighter);
-            carrier &least = *std::min_element(m_carriers.begin(), m_carriers.end(), lighter);
-            const double part = partOf(most);
-            const double bound =
-                part + std::max(toleratedExcess * part, toleratedDeviations * std::sqrt(part));
-            if (most.load <= bound && least.load >= starvedShare * partOf(least)) {
-                break;
-            }
-            const double amount = std::min(most.load - part, partOf(least) - least.load);
-            if (amount < leastMove * part || !moveSome(most, least, amount, moves)) {
-                break;
-            }
-        }
+        while (moves.size() < mostMoves && m_carriers.size() > 1 && moveOne(moves)) { }
         return moves;
     }
 
@@ -110,39 +101,89 @@
         }
     }
 
-    /// Takes a run from the front of the heaviest piece.
-    bool moveSome(carrier &from, carrier &to, double amount, std::vector<planned_move> &moves)
+    /// Moves one run from the most loaded target that can give one. \returns false if none can.
+    bool moveOne(std::vector<planned_move> &moves)
     {
-        if (from.pieces.empty()) {
-            return false;
+        carrier &least = *std::min_element(m_carriers.begin(), m_carriers.end(), lighter);
+        std::vector<carrier *> byLoad;
+        for (carrier &c : m_carriers) {
+            byLoad.push_back(&c);
         }
-        const auto heaviest =
-            std::max_element(from.pieces.begin(), from.pieces.end(),
-                             [this](key_range a, key_range b) { return loadOf(a) < loadOf(b); });
-        const key_range piece = *heaviest;
-        double moved = 0.0;
-        int last = piece.first;
-        for (int key = piece.first; key <= piece.last; ++key) {
-            const double add =
-                m_load.ofKey(static_cast<shard_key>(key), m_now) + priorLoad / keyCount;
-            if (key > piece.first && moved + add / 2 > amount) {
-                break;
+        std::sort(byLoad.begin(), byLoad.end(),
+                  [](const carrier *a, const carrier *b) { return lighter(*b, *a); });
+        for (carrier *most : byLoad) {
+            const double part = partOf(*most);
+            const double bound =
+                part + std::max(toleratedExcess * part, toleratedDeviations * std::sqrt(part));
+            if (most->load <= bound && least.load >= starvedShare * partOf(least)) {
+                return false;
+            }
+            const double amount = std::min(most->load - part, partOf(least) - least.load);
+            if (most != &least && amount >= leastMove * part
+                && moveSome(*most, least, amount, moves)) {
+                return true;
             }
-            moved += add;
-            last = key;
         }
-        if (last == piece.last && from.pieces.size() == 1 && piece.size() == 1) {
-            return false; // A single key cannot be divided.
+        return false;
+    }
+
+    double loadOfKey(int key) const
+    {
+        return m_load.ofKey(static_cast<shard_key>(key), m_now) + priorLoad / keyCount;
+    }
+
+    /// \returns the run of about \a amount at one end of \a piece; empty if a single key at both
+    /// ends is more than that: a key cannot be divided, and its target keeps it.
+    std::optional<key_range> cutFrom(key_range piece, double amount) const
+    {
+        const double most = amount * mostOvershoot;
+        double moved = loadOfKey(piece.first);
+        if (moved <= most) {
+            int last = piece.first;
+            while (last < piece.last && moved + loadOfKey(last + 1) / 2 <= amount) {
+                moved += loadOfKey(++last);
+            }
+            return key_range{piece.first, static_cast<shard_key>(last)};
         }
-        const key_range cut{piece.first, static_cast<shard_key>(last)};
-        from.pieces.erase(heaviest);
-        if (last < piece.last) {
-            from.pieces.push_back({static_cast<shard_key>(last + 1), piece.last});
+        moved = loadOfKey(piece.last);
+        if (moved <= most) {
+            int first = piece.last;
+            while (first > piece.first && moved + loadOfKey(first - 1) / 2 <= amount) {
+                moved += loadOfKey(--first);
+            }
+            return key_range{static_cast<shard_key>(first), piece.last};
+        }
+        return std::nullopt;
+    }
+
+    /// Moves a run of the heaviest piece that can be cut.
+    bool moveSome(carrier &from, carrier &to, double amount, std::vector<planned_move> &moves)
+    {
+        std::sort(from.pieces.begin(), from.pieces.end(),
+                  [this](key_range a, key_range b) { return loadOf(a) > loadOf(b); });
+        for (std::size_t i = 0; i < from.pieces.size(); ++i) {
+            const key_range piece = from.pieces[i];
+            const auto cut = cutFrom(piece, amount);
+            if (!cut) {
+                continue;
+            }
+            const double moved = loadOf(*cut);
+            if (moved < leastMove * partOf(from)) {
+                continue;
+            }
+            from.pieces.erase(from.pieces.begin() + static_cast<std::ptrdiff_t>(i));
+            if (cut->last < piece.last) {
+                from.pieces.push_back({static_cast<shard_key>(cut->last + 1), piece.last});
+            }
+            if (piece.first < cut->first) {
+                from.pieces.push_back({piece.first, static_cast<shard_key>(cut->first - 1)});
+            }
+            from.load -= moved;
+            to.load += moved;
+            moves.push_back({*cut, from.target->name, to.target->name});
+            return true;
         }
-        from.load -= moved;
-        to.load += moved;
-        moves.push_back({cut, from.target->name, to.target->name});
-        return true;
+        return false;
     }
 
     const key_load &m_load;
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -30,6 +30,9 @@
     CPPUNIT_TEST(observerSeesAnIgnoredRelease);
     CPPUNIT_TEST(observerSeesASlowClock);
     CPPUNIT_TEST(hotNeighboursAreSpread);
+    CPPUNIT_TEST(singleHotKeyKeepsItsTarget);
+    CPPUNIT_TEST(fastTargetsCarryMore);
+    CPPUNIT_TEST(silentTargetGetsNoKeys);
     CPPUNIT_TEST(newTargetGetsKeys);
     CPPUNIT_TEST(evenLoadStaysWhereItIs);
     CPPUNIT_TEST(silentOwnerIsWaitedFor);
@@ -187,6 +190,87 @@
         CPPUNIT_ASSERT(moves <= 24);
     }
 
+    /// Load pattern: one key gets two fifths of the requests. It cannot be divided, so its
+    /// neighbours leave its target instead.
+    void singleHotKeyKeepsItsTarget()
+    {
+        const auto targets = candidates(20);
+        key_load load(start);
+        std::mt19937 random(8);
+        for (int i = 0; i < 1000; ++i) {
+            load.add(i % 5 < 2 ? shard_key{30000} : static_cast<shard_key>(random() % keyCount),
+                     start);
+        }
+        auto owners = evenSplit(targets);
+        const auto ownerOf = [&owners](shard_key key) {
+            range_map map;
+            map.owners = owners;
+            return *map.find(key);
+        };
+        const std::string target = ownerOf(30000).target;
+        for (int round = 0; round < 20; ++round) {
+            for (const planned_move &move : planMoves(owners, load, targets, 12, start)) {
+                owners = moved(owners, move);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(target, ownerOf(30000).target);
+        double others = 0.0;
+        for (const range_owner &o : owners) {
+            others += o.target == target ? load.of(o.keys, start) : 0.0;
+        }
+        CPPUNIT_ASSERT(others - load.ofKey(30000, start) < 15.0);
+    }
+
+    /// Load pattern: targets of unequal speed at low load, against parts by speed alone.
+    void fastTargetsCarryMore()
+    {
+        auto targets = candidates(4);
+        targets[0].capacity = 20.0;
+        targets[1].capacity = 20.0;
+        targets[2].capacity = 8.0;
+        targets[3].capacity = 8.0;
+        key_load load(start);
+        std::mt19937 random(9);
+        for (int i = 0; i < 150; ++i) { // 30 a second of 56.
+            load.add(static_cast<shard_key>(random() % keyCount), start);
+        }
+        auto owners = evenSplit(candidates(4));
+        for (int round = 0; round < 20; ++round) {
+            for (const planned_move &move : planMoves(owners, load, targets, 12, start)) {
+                owners = moved(owners, move);
+            }
+        }
+        double fast = 0.0;
+        for (const range_owner &o : owners) {
+            fast += o.target == "t0" || o.target == "t1" ? load.of(o.keys, start) : 0.0;
+        }
+        CPPUNIT_ASSERT(fast / 150.0 > 0.6);
+    }
+
+    /// A target that has left the orders of some keys unanswered is not given them again.
+    void silentTargetGetsNoKeys()
+    {
+        range_keeper keeper({}, {ownedByFirst()}, false, start);
+        std::uint64_t nextFence = 8;
+        for (time_point now = start; now < start + seconds(8); now += milliseconds(50)) {
+            for (const range_order &order : keeper.step(views(2), start + seconds(1000), now)) {
+                const auto number = std::visit([](const auto &o) { return o.number; }, order);
+                const auto &target = std::visit(
+                    [](const auto &o) -> const auto & { return o.target; }, order);
+                keeper.ended(number,
+                             target == "t0" ? order_outcome::Unanswered : order_outcome::Done, {},
+                             now);
+            }
+            if (keeper.wantsRecord()) {
+                for (const range_owner &o : keeper.record(nextFence)) {
+                    CPPUNIT_ASSERT_EQUAL(std::string("t1"), o.target);
+                }
+                keeper.recorded(now);
+            }
+        }
+        CPPUNIT_ASSERT(nextFence > 8);
+    }
+
     void newTargetGetsKeys()
     {
         key_load load(start);
