One reader of the store for each data centre

Change: the VM that rendezvous hashing names in a data centre reads the registry and the operators' rows; the others take versions from it and read for themselves when it is silent or not answered. Now a reader is followed only by its own fresh readings and passes on what the store said.

--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace damaskward {
 
@@ -24,7 +25,12 @@
     std::uint64_t mapVersion = 0; ///< of the map of owners it goes by
     std::uint64_t keeperVersion = 0; ///< of its lease's row if it grants keys to targets, else 0
     bool leaving = false; ///< it is about to stop
+    // For the VMs of its own data centre:
     std::map<std::string, int> inFlight; ///< its unanswered requests by target
+    bool readsStore = false; ///< it reads the store for its data centre, and is answered
+    std::uint64_t registryVersion = 0; ///< of the targets, as a registry_delta numbers them
+    std::uint64_t operatorRevision = 0; ///< of the operators' rows that it has read
+    std::vector<std::string> outDataCenters; ///< data centres that operators have taken out
 };
 
 /// One VM as last heard of.
@@ -122,6 +128,26 @@
         return *best;
     }
 
+    /// \returns the VM of data centre \a dc that does the duty named \a duty there; this VM, which
+    /// must be of \a dc, if no other is alive.
+    const std::string &placeWithin(std::string_view dc, std::string_view duty, time_point now) const
+    {
+        const std::uint64_t hash = keyHash(duty);
+        const std::string *best = &m_self;
+        std::uint64_t bestScore = combineHash(hash, m_selfHash);
+        for (const auto &[name, peer] : m_peers) {
+            if (peer.beat.dataCenter != dc || !alive(peer, now) || peer.beat.leaving) {
+                continue;
+            }
+            const std::uint64_t score = combineHash(hash, peer.hash);
+            if (score > bestScore) {
+                best = &name;
+                bestScore = score;
+            }
+        }
+        return *best;
+    }
+
     /// \returns how many living VMs come before this one for the duty named \a duty.
     int rankFor(std::string_view duty, time_point now) const
     {
--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -49,7 +49,6 @@
         if (m_out.count(dc) != 0 && out.count(dc) == 0) {
             // It may have gone cold while it was out; its next heartbeat tells.
             t.coldUntil = std::max(t.coldUntil, now + warmupOf(t.record.service));
-            t.record.heartbeat = std::max<std::int64_t>(t.record.heartbeat, 0);
         }
     }
     m_out = std::move(out);
@@ -76,39 +75,19 @@
     m_targets[record.name] = std::move(t);
 }
 
-void target_book::applyRegistry(const std::vector<target_record> &records, bool keepMissing,
-                                time_point now)
+void target_book::applyRegistry(const std::vector<target_record> &records, time_point now)
 {
     std::set<std::string_view> seen;
     for (const target_record &record : records) {
         seen.insert(record.name);
-        target_state *known = find(record.name);
-        if (!known || known->record.incarnation < record.incarnation) {
-            add(record, now);
-            if (!m_first && record.warmupLeft.count() == 0 && record.heartbeat <= 1) {
-                find(record.name)->coldUntil = now + warmupOf(record.service);
-            }
-            continue;
-        }
-        if (record.incarnation < known->record.incarnation) {
-            continue; // An older life's record that arrived late.
-        }
-        const bool fresh = record.heartbeat > known->record.heartbeat;
-        known->record = record;
-        known->listed = true;
-        if (fresh || record.warmupLeft.count() > 0) {
-            known->coldUntil = now + record.warmupLeft;
-        }
-        if (fresh) {
-            known->refusingUntil = time_point{};
-        }
+        applyRecord(record, now);
     }
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         if (seen.count(it->first) != 0) {
             ++it;
             continue;
         }
-        it->second.listed = keepMissing && it->second.listed;
+        it->second.listed = false;
         noteLeaving(it->second, now);
         // A target that is gone is remembered for a while: it may still answer.
         constexpr milliseconds remembered{15000};
@@ -125,6 +104,39 @@
     m_first = m_first && records.empty();
 }
 
+void target_book::applyRecord(const target_record &record, time_point now)
+{
+    target_state *known = find(record.name);
+    if (!known || known->record.incarnation < record.incarnation) {
+        add(record, now);
+        if (!m_first && record.warmupLeft.count() == 0 && record.heartbeat <= 1) {
+            find(record.name)->coldUntil = now + warmupOf(record.service);
+        }
+        return;
+    }
+    if (record.incarnation < known->record.incarnation) {
+        return; // An older life's record that arrived late.
+    }
+    const bool fresh = record.heartbeat > known->record.heartbeat;
+    known->record = record;
+    known->listed = true;
+    if (fresh || record.warmupLeft.count() > 0) {
+        known->coldUntil = now + record.warmupLeft;
+    }
+    if (fresh) {
+        known->refusingUntil = time_point{};
+    }
+    noteLeaving(*known, now);
+}
+
+void target_book::remove(std::string_view name, time_point now)
+{
+    if (target_state *known = find(name)) {
+        known->listed = false;
+        noteLeaving(*known, now);
+    }
+}
+
 target_state *target_book::find(std::string_view name)
 {
     const auto it = m_targets.find(name);
--- a/src/Fleet/target_book.h
+++ b/src/Fleet/target_book.h
@@ -78,9 +78,12 @@
     /// \param out all data centres that are out
     void setOut(std::set<data_center_id> out, time_point now);
     /// Takes over a complete reading of the registry.
-    /// \param keepMissing records that are missing now stay usable: the registry has just been
-    ///        unavailable, and targets have had no time to register again
-    void applyRegistry(const std::vector<target_record> &records, bool keepMissing, time_point now);
+    void applyRegistry(const std::vector<target_record> &records, time_point now);
+
+    /// Takes over one record of the registry.
+    void applyRecord(const target_record &record, time_point now);
+    /// A target's record has gone from the registry.
+    void remove(std::string_view name, time_point now);
 
     /// \returns the target named \a name, or null.
     target_state *find(std::string_view name);
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds registryPause{700};
 /// How long the store may hold an answer about operators' rows back; short enough to find a
 /// connection that has silently died.
-constexpr milliseconds operatorWait{8000};
+constexpr milliseconds operatorWait{3000};
 constexpr milliseconds storeRetryPause{250};
 constexpr milliseconds peersPause{10000};
 /// The store counts as lost after this time without a good answer.
@@ -35,6 +35,14 @@
 constexpr milliseconds releaseTimeout{1500};
 constexpr const char *vmRowPrefix = "vm/";
 constexpr const char *configPath = "/config";
+constexpr const char *registryPath = "/registry";
+/// The VM of a data centre that reads the store for all of it.
+constexpr const char *readerDuty = "reader";
+/// A reader silent for this long is no longer relied on: three heartbeats.
+constexpr milliseconds readerSilence{700};
+/// A reader not answered for this long says so: a reading and a slow answer; the others then still
+/// learn of a leaving target within its two seconds.
+constexpr milliseconds readerGoodFor{1300};
 
 std::int64_t wallMillis()
 {
@@ -87,6 +95,7 @@
           internalLimits,
           [this](const std::shared_ptr<http_exchange> &exchange) { servePeer(*exchange); })
     , m_signals(loop, SIGTERM, SIGINT)
+    , m_relay(m_environment.name.str(), static_cast<std::uint64_t>(m_incarnation))
 {
     begin();
 }
@@ -103,8 +112,7 @@
         }
     });
     updateLimits(mono_clock::now());
-    readOperators();
-    readTargets();
+    storeTick();
     registerSelf();
     beatTick();
     keeperTick();
@@ -151,7 +159,16 @@
             beat.inFlight[name] = t.inFlight;
         }
     }
+    const time_point now = mono_clock::now();
+    beat.readsStore = readsWell(now);
+    beat.registryVersion = m_relay.version();
+    beat.operatorRevision = m_operatorRevision;
+    for (const data_center_id &dc : m_out) {
+        beat.outDataCenters.push_back(dc.str());
+    }
     const std::string nearBytes = encodeMessage(beat);
+    beat.readsStore = false;
+    beat.outDataCenters.clear();
     beat.inFlight.clear(); // Out of date when it gets there.
     const std::string farBytes = encodeMessage(beat);
     const bool far = ++m_beatCount % farBeatEvery == 0 || m_draining || beat.keeperVersion != 0;
@@ -171,6 +188,16 @@
     }
 }
 
+void node::sendNear(const peer_message &message)
+{
+    const std::string bytes = encodeMessage(message);
+    for (const auto &[name, peer] : m_peers.all()) {
+        if (peer.beat.dataCenter == m_environment.dataCenter.str()) {
+            m_socket.sendBytes(peer.beat.ip, bytes);
+        }
+    }
+}
+
 void node::keeperTick()
 {
     m_seat.tick(mono_clock::now());
@@ -203,6 +230,8 @@
         }
     } else if (const auto *grant = std::get_if<token_grant>(&message)) {
         m_tokens.granted(*grant, now);
+    } else if (const auto *delta = std::get_if<registry_delta>(&message)) {
+        followRegistry(*delta);
     }
 }
 
@@ -222,6 +251,7 @@
     if (beat.configVersion > version) {
         fetchConfig(fromIp);
     }
+    followReader(beat, now);
 }
 
 void node::sumInFlight(time_point now)
@@ -368,38 +398,147 @@
     }
 }
 
+bool node::readsForOthers(time_point now) const
+{
+    return m_peers.placeWithin(m_environment.dataCenter.str(), readerDuty, now)
+        == m_environment.name.str();
+}
+
+/// \returns whether the other VMs of the data centre may go by what this one has read: it is their
+/// reader, and its own last readings are fresh. A VM that was cut off has old ones at first.
+bool node::readsWell(time_point now) const
+{
+    const bool returning = m_storeBackAt != time_point{} && now < m_storeBackAt + recordsReturn;
+    return readsForOthers(now) && !returning && now < m_targetsGoodAt + readerGoodFor
+        && now < m_operatorsGoodAt + operatorWait + readerGoodFor;
+}
+
+/// \returns the VM that reads the store for this one, or null when this one has to read itself:
+/// it is the reader, or the reader is silent or not answered by the store.
+const peer_state *node::readerFollowed(time_point now) const
+{
+    const auto it =
+        m_peers.all().find(m_peers.placeWithin(m_environment.dataCenter.str(), readerDuty, now));
+    const bool good = it != m_peers.all().end() && it->second.beat.readsStore
+        && now < it->second.heardAt + readerSilence;
+    return good ? &it->second : nullptr;
+}
+
+void node::followReader(const peer_beat &beat, time_point now)
+{
+    const peer_state *reader = readerFollowed(now);
+    if (!reader || reader->beat.name != beat.name) {
+        return;
+    }
+    m_storeGoodAt = now;
+    m_storeLost = false;
+    if (beat.operatorRevision > m_operatorRevision) {
+        m_operatorRevision = beat.operatorRevision;
+        m_out.clear();
+        for (const std::string &dc : beat.outDataCenters) {
+            m_out.insert(data_center_id(dc));
+        }
+        applyOut();
+    }
+    if (!m_relay.has(beat.name, beat.registryVersion)) {
+        fetchRegistry(beat.ip);
+    }
+}
+
+void node::followRegistry(const registry_delta &delta)
+{
+    const time_point now = mono_clock::now();
+    const peer_state *reader = readerFollowed(now);
+    if (!reader || reader->beat.name != delta.reader) {
+        return;
+    }
+    if (!m_relay.follow(delta)) {
+        fetchRegistry(reader->beat.ip);
+        return;
+    }
+    if (delta.base == 0) {
+        m_targets.applyRegistry(m_relay.records(), now);
+        return;
+    }
+    for (const target_record &record : delta.changed) {
+        m_targets.applyRecord(record, now);
+    }
+    for (const std::string &name : delta.removed) {
+        m_targets.remove(name, now);
+    }
+}
+
+void node::fetchRegistry(const std::string &ip)
+{
+    if (m_fetchingRegistry) {
+        return;
+    }
+    m_fetchingRegistry = true;
+    callPeer(ip, registryPath, [this](const std::string &body) {
+        m_fetchingRegistry = false;
+        const auto message = decodeMessage(body);
+        if (message && std::holds_alternative<registry_delta>(*message)) {
+            followRegistry(std::get<registry_delta>(*message));
+        }
+    });
+}
+
+/// Reads the store as far as no other VM does it for this one.
+void node::storeTick()
+{
+    const time_point now = mono_clock::now();
+    if (!readerFollowed(now)) {
+        if (!m_followingOperators) {
+            readOperators();
+        }
+        if (!m_readingTargets && now >= m_targetsReadAt + registryPause) {
+            readTargets();
+        }
+    }
+    after(storeRetryPause, [this] { storeTick(); });
+}
+
 void node::readOperators()
 {
+    m_followingOperators = true;
     m_platform.store.read(m_platform.operatorTable, "", [this](row_result &&result) {
         const time_point now = mono_clock::now();
         const auto *rows = std::get_if<row_set>(&result);
         storeAnswered(rows != nullptr, now);
         if (!rows) {
-            after(storeRetryPause, [this] { readOperators(); });
+            m_followingOperators = false; // The next tick tries again.
             return;
         }
         m_out.clear();
-        for (const table_row &row : rows->rows) {
-            applyOperatorRow(row);
-        }
-        applyOut();
+        applyOperatorRows(*rows);
         followOperators(rows->revision);
     });
 }
 
-void node::followOperators(table_revision after_)
+void node::applyOperatorRows(const row_set &rows)
+{
+    for (const table_row &row : rows.rows) {
+        applyOperatorRow(row);
+    }
+    m_operatorRevision = std::max(m_operatorRevision, rows.revision);
+    m_operatorsGoodAt = mono_clock::now();
+    applyOut();
+}
+
+void node::followOperators(table_revision revision)
 {
-    m_platform.store.follow(m_platform.operatorTable, after_, operatorWait,
+    if (readerFollowed(mono_clock::now())) {
+        m_followingOperators = false; // Another VM does it now.
+        return;
+    }
+    m_platform.store.follow(m_platform.operatorTable, revision, operatorWait,
                             [this](row_result &&result) {
                                 const auto *rows = std::get_if<row_set>(&result);
                                 if (!rows) {
-                                    after(storeRetryPause, [this] { readOperators(); });
+                                    m_followingOperators = false;
                                     return;
                                 }
-                                for (const table_row &row : rows->rows) {
-                                    applyOperatorRow(row);
-                                }
-                                applyOut();
+                                applyOperatorRows(*rows);
                                 followOperators(rows->revision);
                             });
 }
@@ -450,34 +589,44 @@
         return;
     }
     m_fetching = true;
+    callPeer(ip, configPath, [this](const std::string &body) {
+        m_fetching = false;
+        if (!body.empty()) {
+            applyOperatorRow({configPath + 1, body, 0, false});
+        }
+    });
+}
+
+/// Asks another VM. \param done gets the answer's body, empty when there is none
+void node::callPeer(const std::string &ip, const std::string &path,
+                    std::function<void(const std::string &body)> done)
+{
     outgoing_call call;
     call.peer = "peer/" + ip;
     call.address = ip + ":" + std::to_string(m_environment.peerPort);
-    call.head = std::string("GET ") + configPath + " HTTP/1.1\r\nHost: " + ip + "\r\n\r\n";
+    call.head = "GET " + path + " HTTP/1.1\r\nHost: " + ip + "\r\n\r\n";
     constexpr milliseconds fetchTimeout{1000};
     call.deadline = mono_clock::now() + fetchTimeout;
-    m_pool.send(std::move(call), [this](call_result &&result) {
-        m_fetching = false;
+    m_pool.send(std::move(call), [done = std::move(done)](call_result &&result) {
         constexpr unsigned good = 200;
-        if (result.failure != call_failure::None || result.answer.result_int() != good) {
-            return; // The next heartbeat asks again.
-        }
-        table_row row;
-        row.name = configPath + 1;
-        row.value = result.answer.body();
-        applyOperatorRow(row);
+        const bool answered =
+            result.failure == call_failure::None && result.answer.result_int() == good;
+        done(answered ? result.answer.body() : std::string());
     });
 }
 
 void node::readTargets()
 {
+    m_readingTargets = true;
+    m_targetsReadAt = mono_clock::now();
     m_platform.store.read(m_platform.targetTable, "", [this](row_result &&result) {
+        m_readingTargets = false;
         const auto *rows = std::get_if<row_set>(&result);
         storeAnswered(rows != nullptr, mono_clock::now());
         if (rows) {
+            m_targetsGoodAt = mono_clock::now();
             applyTargets(*rows);
         }
-        after(rows ? registryPause : storeRetryPause, [this] { readTargets(); });
     });
 }
 
@@ -492,8 +641,23 @@
             m_log.write(log_line("row skipped").add("row", row.name));
         }
     }
+    // Before records of this VM's own memory are added: they may be old.
+    if (const auto delta = m_relay.read(records)) {
+        sendNear(*delta);
+    }
     const bool returning = m_storeBackAt != time_point{} && now < m_storeBackAt + recordsReturn;
-    m_targets.applyRegistry(records, returning, now);
+    if (returning) {
+        // Targets whose records lapsed meanwhile have not had the time to write them again.
+        for (const auto &[name, t] : m_targets.all()) {
+            const bool missing = std::none_of(records.begin(), records.end(), [&](const auto &r) {
+                return r.name == t.record.name;
+            });
+            if (missing && t.listed) {
+                records.push_back(t.record);
+            }
+        }
+    }
+    m_targets.applyRegistry(records, now);
 }
 
 void node::registerSelf()
@@ -550,12 +714,15 @@
 
 void node::servePeer(http_exchange &exchange)
 {
-    if (exchange.request().target() != configPath || m_configText.empty()) {
-        exchange.answer(plainAnswer(404));
-        return;
-    }
     http_answer answer = plainAnswer(200);
-    answer.body() = m_configText;
+    if (exchange.request().target() == configPath) {
+        answer.body() = m_configText;
+    } else if (exchange.request().target() == registryPath) {
+        answer.body() = encodeMessage(m_relay.whole());
+    }
+    if (answer.body().empty()) {
+        answer = plainAnswer(404);
+    }
     exchange.answer(std::move(answer));
 }
 
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -51,13 +51,24 @@
     void beatTick();
     void sendBeats();
     void sumInFlight(time_point now);
+    void sendNear(const peer_message &message);
     void keeperTick();
     void logTick();
+    bool readsForOthers(time_point now) const;
+    bool readsWell(time_point now) const;
+    const peer_state *readerFollowed(time_point now) const;
+    void followReader(const peer_beat &beat, time_point now);
+    void followRegistry(const registry_delta &delta);
+    void fetchRegistry(const std::string &ip);
+    void storeTick();
     void readOperators();
     void followOperators(table_revision after);
+    void applyOperatorRows(const row_set &rows);
     void applyOperatorRow(const table_row &row);
     void applyOut();
     void readTargets();
+    void callPeer(const std::string &ip, const std::string &path,
+                  std::function<void(const std::string &body)> done);
     void applyTargets(const row_set &rows);
     void registerSelf();
     void readPeers();
@@ -101,6 +112,14 @@
     std::set<data_center_id> m_out;
     std::string m_configText; ///< the configuration in force, as peers fetch it
     bool m_fetching = false;
+    bool m_fetchingRegistry = false;
+    registry_relay m_relay;
+    bool m_followingOperators = false; ///< a read or a wait for operators' rows is under way
+    bool m_readingTargets = false;
+    std::uint64_t m_operatorRevision = 0;
+    time_point m_targetsReadAt{};
+    time_point m_targetsGoodAt{}; ///< the last reading of the registry by this VM itself
+    time_point m_operatorsGoodAt{}; ///< the same of the operators' rows
     owner_update m_owners;
     std::string m_ownersBytes;
     int m_beatCount = 0;
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -61,9 +61,29 @@
 {
     json operator()(const peer_beat &m) const
     {
-        return {"b",           m.name,          m.dataCenter, m.ip,
-                m.incarnation, m.configVersion, m.mapVersion, m.keeperVersion,
-                m.leaving,     m.inFlight};
+        return {"b",
+                m.name,
+                m.dataCenter,
+                m.ip,
+                m.incarnation,
+                m.configVersion,
+                m.mapVersion,
+                m.keeperVersion,
+                m.leaving,
+                m.inFlight,
+                m.readsStore,
+                m.registryVersion,
+                m.operatorRevision,
+                m.outDataCenters};
+    }
+    json operator()(const registry_delta &m) const
+    {
+        json changed = json::array();
+        for (const target_record &r : m.changed) {
+            changed.push_back({r.name, r.incarnation, r.service.str(), r.dataCenter.str(),
+                               r.address, r.slots, r.draining, r.heartbeat, r.warmupLeft.count()});
+        }
+        return {"r", m.reader, m.base, m.version, std::move(changed), m.removed};
     }
     json operator()(const owner_update &m) const
     {
@@ -118,6 +138,33 @@
     m.keeperVersion = a.at(7);
     m.leaving = a.at(8);
     m.inFlight = a.at(9).get<std::map<std::string, int>>();
+    m.readsStore = a.at(10);
+    m.registryVersion = a.at(11);
+    m.operatorRevision = a.at(12);
+    m.outDataCenters = a.at(13).get<std::vector<std::string>>();
+    return m;
+}
+
+registry_delta decodeRegistry(const json &a)
+{
+    registry_delta m;
+    m.reader = a.at(1);
+    m.base = a.at(2);
+    m.version = a.at(3);
+    for (const json &item : a.at(4)) {
+        target_record r;
+        r.name = item.at(0);
+        r.incarnation = item.at(1);
+        r.service = service_id(item.at(2).get<std::string>());
+        r.dataCenter = data_center_id(item.at(3).get<std::string>());
+        r.address = item.at(4);
+        r.slots = item.at(5);
+        r.draining = item.at(6);
+        r.heartbeat = item.at(7);
+        r.warmupLeft = milliseconds(item.at(8).get<std::int64_t>());
+        m.changed.push_back(std::move(r));
+    }
+    m.removed = a.at(5).get<std::vector<std::string>>();
     return m;
 }
 
@@ -171,6 +218,9 @@
     if (type == "d") {
         return decodeDraw(a);
     }
+    if (type == "r") {
+        return decodeRegistry(a);
+    }
     if (type == "g") {
         return decodeGrant(a);
     }
--- a/src/Node/peer_message.h
+++ b/src/Node/peer_message.h
@@ -6,6 +6,7 @@
 #include "../Admission/token_desk.h"
 #include "../Core/ids.h"
 #include "../Fleet/peer_book.h"
+#include "../Fleet/registry_relay.h"
 #include "../Ranges/key_demand.h"
 #include "../Ranges/range_map.h"
 
@@ -39,8 +40,8 @@
     token_draw draw;
 };
 
-using peer_message =
-    std::variant<peer_beat, owner_update, owner_query, key_demand, peer_draw, token_grant>;
+using peer_message = std::variant<peer_beat, owner_update, owner_query, key_demand, peer_draw,
+                                  token_grant, registry_delta>;
 
 /// \returns \a message as a datagram.
 std::string encodeMessage(const peer_message &message);
--- a/test/support/range_world.cpp
+++ b/test/support/range_world.cpp
@@ -272,7 +272,7 @@
                 records.push_back(t.record);
             }
         }
-        vm.targets.applyRegistry(records, false, clockOf(vm));
+        vm.targets.applyRegistry(records, clockOf(vm));
     }
 
     void beat(world_vm &vm)
