Tokens drawn for waiting requests alone; holds, maps and readers for large fleets

Cause: on the grown site 13,457 answers 429: each draw took two tokens ahead that lapsed unspent, two of three for a small team seen at 83 VMs; the keeper renewed some 700 grants a second; each map of owners crossed data centres 55 times. Change: no tokens ahead where a draw takes milliseconds; renewals at most 300 a second; updates at most ten a second, passed on by one VM of each data centre; weak VMs let others claim the lease first.

--- a/src/Admission/team_account.h
+++ b/src/Admission/team_account.h
@@ -23,6 +23,12 @@
 class team_account
 {
 public:
+    /// \param windowsAhead how many windows' spending is drawn ahead; 0 draws only for requests
+    ///        that wait, so that no token lapses unspent where a draw takes a few milliseconds
+    explicit team_account(int windowsAhead = 2)
+        : m_windowsAhead(windowsAhead)
+    { }
+
     /// Spends one token. \returns false when none is held.
     bool trySpend(time_point now)
     {
@@ -42,12 +48,12 @@
         rollWindow(now);
         const int held = now < m_lapsesAt ? m_held : 0;
         const bool inFlight = m_giveUpAt > now;
-        const bool needed = waiting > 0 || held < m_recentlySpent;
+        const bool needed = waiting > 0 || (m_windowsAhead > 0 && held < m_recentlySpent);
         if (inFlight || !needed || now < m_drawAgainAt) {
             return std::nullopt;
         }
-        // Twice what a window spends, so that a steady flow seldom waits for a draw.
-        const int reserve = std::min(2 * m_recentlySpent, maxReserve);
+        // More than a window spends, so that a steady flow seldom waits for a draw.
+        const int reserve = std::min(m_windowsAhead * m_recentlySpent, maxReserve);
         const int wanted = waiting + std::max(0, reserve - held);
         m_sentAt = now;
         m_giveUpAt = now + tokenLifetime;
@@ -88,6 +94,7 @@
         m_windowEnd = now + windowLength;
     }
 
+    int m_windowsAhead;
     int m_held = 0;
     int m_spentInWindow = 0;
     int m_recentlySpent = 0; ///< in the window before this one
--- a/src/Admission/token_desk.h
+++ b/src/Admission/token_desk.h
@@ -148,7 +148,7 @@
 private:
     struct desk_entry
     {
-        team_account account;
+        team_account account{0};
         std::uint64_t sequence = 0; ///< of the draw under way
         std::vector<std::function<void()>> waiting;
     };
--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -58,8 +58,9 @@
     /// longer than any cut that its share of a limit must be kept back for.
     static constexpr milliseconds knownTime{20000};
 
-    explicit peer_book(std::string self)
+    explicit peer_book(std::string self, std::string dataCenter = {})
         : m_self(std::move(self))
+        , m_dataCenter(std::move(dataCenter))
         , m_selfHash(keyHash(m_self))
     { }
 
@@ -128,13 +129,13 @@
         return *best;
     }
 
-    /// \returns the VM of data centre \a dc that does the duty named \a duty there; this VM, which
-    /// must be of \a dc, if no other is alive.
+    /// \returns the VM of data centre \a dc that does the duty named \a duty there; this VM if none
+    /// is alive there.
     const std::string &placeWithin(std::string_view dc, std::string_view duty, time_point now) const
     {
         const std::uint64_t hash = keyHash(duty);
         const std::string *best = &m_self;
-        std::uint64_t bestScore = combineHash(hash, m_selfHash);
+        std::uint64_t bestScore = dc == m_dataCenter ? combineHash(hash, m_selfHash) : 0;
         for (const auto &[name, peer] : m_peers) {
             if (peer.beat.dataCenter != dc || !alive(peer, now) || peer.beat.leaving) {
                 continue;
@@ -164,6 +165,7 @@
 
 private:
     std::string m_self;
+    std::string m_dataCenter;
     std::uint64_t m_selfHash;
     std::map<std::string, peer_state> m_peers;
 };
--- a/src/Fleet/vm_environment.h
+++ b/src/Fleet/vm_environment.h
@@ -36,6 +36,7 @@
     std::uint16_t metricsPort = 0;
     std::vector<std::string> seedIps; ///< some other VMs; they may be gone
     std::string storeAddress; ///< the platform's store
+    double cpuShare = 1.0; ///< of a core
     std::size_t memoryBytes = 0; ///< the process is killed beyond this
     fleet_bounds bounds;
 };
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -9,6 +9,8 @@
 
 constexpr const char *seatRow = "keeper";
 constexpr const char *keeperDuty = "keeper";
+/// Between two publications: changes of hands come in bursts, and each update holds all owners.
+constexpr milliseconds publishPause{100};
 /// Updates of later holders are above those of earlier ones.
 constexpr unsigned epochShift = 32;
 
@@ -27,7 +29,7 @@
 keeper_seat::keeper_seat(store_port &store, std::string table, order_sender send,
                          target_book &targets, peer_book &peers, request_log &log,
                          std::int64_t incarnation, clock_source clock,
-                         std::function<void(const owner_update &)> publish)
+                         std::function<void(const owner_update &)> publish, int handicap)
     : m_store(store)
     , m_table(std::move(table))
     , m_send(std::move(send))
@@ -37,6 +39,7 @@
     , m_incarnation(incarnation)
     , m_clock(std::move(clock))
     , m_publish(std::move(publish))
+    , m_handicap(handicap)
     , m_lease(lease_timing{})
 { }
 
@@ -129,7 +132,7 @@
     }
     const bool kept = !m_keepers.empty();
     const lease_action action =
-        m_lease.step(otherKeeperAlive(now), m_peers.rankFor(keeperDuty, now), now);
+        m_lease.step(otherKeeperAlive(now), m_peers.rankFor(keeperDuty, now) + m_handicap, now);
     if (kept && !m_lease.held(now)) {
         drop("lease ran out", now);
     }
@@ -151,6 +154,22 @@
     }
 }
 
+/// \returns longer holds for many targets: one VM renews them all.
+keeper_timing keeper_seat::timingFor(const service_id &service) const
+{
+    std::int64_t targets = 0;
+    for (const auto &[name, t] : m_targets.all()) {
+        targets += t.record.service == service ? 1 : 0;
+    }
+    // About two runs of keys a target, and 300 renewals a second, a tenth of a small VM's core.
+    constexpr milliseconds renewalPause{7};
+    keeper_timing timing;
+    const milliseconds renewAfter = std::max(timing.renewAfter, targets * renewalPause);
+    timing.hold += renewAfter - timing.renewAfter;
+    timing.renewAfter = renewAfter;
+    return timing;
+}
+
 owner_views keeper_seat::viewsOf(const service_id &service, time_point now)
 {
     owner_views views;
@@ -174,8 +193,8 @@
     for (const auto &[service, one] : m_keyed) {
         auto &keeper = m_keepers[service];
         if (!keeper) {
-            keeper =
-                std::make_shared<range_keeper>(keeper_timing{}, m_row.owners[service], true, now);
+            keeper = std::make_shared<range_keeper>(timingFor(service), m_row.owners[service], true,
+                                                    now);
         }
         for (const range_order &order :
              keeper->step(viewsOf(service, now), m_lease.leaseEnd(), now)) {
@@ -390,9 +409,10 @@
     for (const auto &[service, keeper] : m_keepers) {
         changed = changed || m_published[service] != keeper->revision();
     }
-    if (!changed) {
+    if (!changed || now < m_publishAt) {
         return;
     }
+    m_publishAt = now + publishPause;
     owner_update update;
     for (const auto &[service, keeper] : m_keepers) {
         m_published[service] = keeper->revision();
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -42,9 +42,10 @@
 
     /// \param table the table of the product's own rows
     /// \param publish called with the owners whenever they change
+    /// \param handicap how many places in the order of claims this VM gives up, being weak
     keeper_seat(store_port &store, std::string table, order_sender send, target_book &targets,
                 peer_book &peers, request_log &log, std::int64_t incarnation, clock_source clock,
-                std::function<void(const owner_update &)> publish);
+                std::function<void(const owner_update &)> publish, int handicap = 0);
 
     /// Takes over which services are divided by key.
     void setDeployment(const deployment &config);
@@ -74,6 +75,7 @@
     static std::optional<seat_row> decodeRow(const std::string &text);
 
     bool otherKeeperAlive(time_point now) const;
+    keeper_timing timingFor(const service_id &service) const;
     owner_views viewsOf(const service_id &service, time_point now);
     void runKeepers(time_point now);
     void sendOrder(const range_order &order, const std::shared_ptr<range_keeper> &keeper);
@@ -99,6 +101,7 @@
     clock_source m_clock;
     std::function<void(const owner_update &)> m_publish;
 
+    int m_handicap;
     keeper_lease m_lease;
     std::map<service_id, int> m_keyed; ///< services divided by key
     seat_row m_row; ///< as last read
@@ -111,6 +114,7 @@
     std::map<std::string, std::uint64_t> m_loggedFences; ///< the highest by target
     std::map<std::string, std::string, std::less<>> m_addresses; ///< of targets, also gone ones
     std::uint64_t m_updateVersion = 0;
+    time_point m_publishAt{};
     time_point m_failingSince{}; ///< of writes to the store
     bool m_heldOver = false;
     bool m_leaving = false;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -33,6 +33,9 @@
 /// A grant is answered within some milliseconds; a release takes as long as the work that runs.
 constexpr milliseconds grantTimeout{300};
 constexpr milliseconds releaseTimeout{1500};
+/// VMs with less of a core than this let two others claim the keeper's lease first.
+constexpr double weakShare = 0.2;
+constexpr int weakHandicap = 2;
 constexpr const char *vmRowPrefix = "vm/";
 constexpr const char *configPath = "/config";
 constexpr const char *registryPath = "/registry";
@@ -68,7 +71,7 @@
     , m_pool(loop, m_deadlines, requestIdField)
     , m_platform(makePort(m_pool))
     , m_targets(m_environment.dataCenter)
-    , m_peers(m_environment.name.str())
+    , m_peers(m_environment.name.str(), m_environment.dataCenter.str())
     , m_tokens(
           m_environment.name.str(), [this](std::string_view name) { return limitOf(name); },
           [this] { return m_peers.reachableShare(mono_clock::now()); })
@@ -79,7 +82,8 @@
           [this](const range_order &order, const std::string &address,
                  keeper_seat::order_callback done) { sendOrder(order, address, std::move(done)); },
           m_targets, m_peers, m_log, m_incarnation, [] { return mono_clock::now(); },
-          [this](const owner_update &update) { publishOwners(update); })
+          [this](const owner_update &update) { publishOwners(update); },
+          m_environment.cpuShare < weakShare ? weakHandicap : 0)
     , m_socket(loop, m_environment.ip, m_environment.peerPort,
                [this](peer_message &&message, const std::string &ip) {
                    received(std::move(message), ip);
@@ -217,7 +221,11 @@
     if (const auto *beat = std::get_if<peer_beat>(&message)) {
         heard(*beat, fromIp);
     } else if (const auto *update = std::get_if<owner_update>(&message)) {
+        const bool fresh = update->version > m_owners.version;
         takeOwners(*update);
+        if (fresh && readsForOthers(now)) {
+            sendNear(*update);
+        }
     } else if (std::holds_alternative<owner_query>(message)) {
         if (!m_ownersBytes.empty()) {
             m_socket.sendBytes(fromIp, m_ownersBytes);
@@ -282,8 +290,21 @@
 void node::publishOwners(const owner_update &update)
 {
     takeOwners(update);
+    const time_point now = mono_clock::now();
+    std::set<std::string> farCenters;
     for (const auto &[name, peer] : m_peers.all()) {
-        m_socket.sendBytes(peer.beat.ip, m_ownersBytes);
+        if (peer.beat.dataCenter == m_environment.dataCenter.str()) {
+            m_socket.sendBytes(peer.beat.ip, m_ownersBytes);
+        } else {
+            farCenters.insert(peer.beat.dataCenter);
+        }
+    }
+    // One VM of each other data centre passes the update on there.
+    for (const std::string &dc : farCenters) {
+        const auto reader = m_peers.all().find(m_peers.placeWithin(dc, readerDuty, now));
+        if (reader != m_peers.all().end()) {
+            m_socket.sendBytes(reader->second.beat.ip, m_ownersBytes);
+        }
     }
 }
 
@@ -695,10 +716,20 @@
                 }
             }
         }
-        after(peersPause, [this] { readPeers(); });
+        after(peersPause, [this] { readPeersAgain(); });
     });
 }
 
+/// Later on one VM of each data centre looks for VMs that nobody has heard of.
+void node::readPeersAgain()
+{
+    if (readsForOthers(mono_clock::now()) || m_peers.all().empty()) {
+        readPeers();
+    } else {
+        after(peersPause, [this] { readPeersAgain(); });
+    }
+}
+
 // Readiness, other VMs' requests, and the end.
 
 bool node::ready() const
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -72,6 +72,7 @@
     void applyTargets(const row_set &rows);
     void registerSelf();
     void readPeers();
+    void readPeersAgain();
     void received(peer_message &&message, const std::string &fromIp);
     void heard(const peer_beat &beat, const std::string &fromIp);
     void takeOwners(const owner_update &update);
--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -66,8 +66,10 @@
         if (m_held) {
             return now >= m_actAt ? lease_action::Renew : lease_action::None;
         }
-        if (otherAlive) {
+        if (otherAlive || m_quietSince == time_point{}) {
             m_quietSince = now;
+        }
+        if (otherAlive) {
             return lease_action::None;
         }
         if (now < m_quietSince + rank * m_timing.rankDelay || now < m_actAt) {
