Metrics on the address of the deploy file; the product's own metrics serve the new daemon too

Counters by service, team, outcome and reason, latency histograms, gauges of targets, VMs, store and lease.

--- a/src/Fleet/vm_environment.h
+++ b/src/Fleet/vm_environment.h
@@ -33,7 +33,7 @@
     std::string callerAddress; ///< where callers connect
     std::string readyAddress; ///< where the platform asks whether to send callers here
     std::uint16_t peerPort = 0; ///< free for messages among VMs, the same on every VM
-    std::uint16_t metricsPort = 0;
+    std::uint16_t metricsPort = 9464; ///< Prometheus' usual port for exporters
     std::vector<std::string> seedIps; ///< some other VMs; they may be gone
     std::string storeAddress; ///< the platform's store
     double cpuShare = 1.0; ///< of a core
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -39,6 +39,7 @@
 constexpr const char *vmRowPrefix = "vm/";
 constexpr const char *configPath = "/config";
 constexpr const char *registryPath = "/registry";
+constexpr const char *metricsPath = "/metrics";
 /// The VM of a data centre that reads the store for all of it.
 constexpr const char *readerDuty = "reader";
 /// A reader silent for this long is no longer relied on: three heartbeats.
@@ -75,7 +76,7 @@
     , m_tokens(
           m_environment.name.str(), [this](std::string_view name) { return limitOf(name); },
           [this] { return m_peers.reachableShare(mono_clock::now()); })
-    , m_router(m_deadlines, m_pool, m_targets, m_tokens, m_platform.headers, m_log,
+    , m_router(m_deadlines, m_pool, m_targets, m_tokens, m_platform.headers, m_log, m_metrics,
                [this] { sendDraws(); })
     , m_seat(
           m_platform.store, m_platform.ownTable,
@@ -98,6 +99,10 @@
           loop, m_deadlines, m_environment.ip + ":" + std::to_string(m_environment.peerPort),
           internalLimits,
           [this](const std::shared_ptr<http_exchange> &exchange) { servePeer(*exchange); })
+    , m_metricsListener(
+          loop, m_deadlines, m_environment.ip + ":" + std::to_string(m_environment.metricsPort),
+          internalLimits,
+          [this](const std::shared_ptr<http_exchange> &exchange) { serveMetrics(*exchange); })
     , m_signals(loop, SIGTERM, SIGINT)
     , m_relay(m_environment.name.str(), static_cast<std::uint64_t>(m_incarnation))
 {
@@ -757,6 +762,50 @@
     exchange.answer(std::move(answer));
 }
 
+void node::serveMetrics(http_exchange &exchange)
+{
+    if (exchange.request().target() != metricsPath) {
+        exchange.answer(plainAnswer(404));
+        return;
+    }
+    gaugeState(mono_clock::now());
+    http_answer answer = plainAnswer(200);
+    answer.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
+    answer.body() = m_metrics.prometheus();
+    exchange.answer(std::move(answer));
+}
+
+void node::gaugeState(time_point now)
+{
+    double usable = 0.0;
+    double cold = 0.0;
+    double alive = 1.0;
+    for (const auto &[name, t] : m_targets.all()) {
+        usable += m_targets.usable(t, now) ? 1.0 : 0.0;
+        cold += target_book::cold(t, now) ? 1.0 : 0.0;
+    }
+    for (const auto &[name, peer] : m_peers.all()) {
+        alive += peer_book::alive(peer, now) ? 1.0 : 0.0;
+    }
+    const auto age = [now](time_point since) {
+        return since == time_point{} ? -1.0 : std::chrono::duration<double>(now - since).count();
+    };
+    m_metrics.gauge("requests_under_way", static_cast<double>(m_router.underWay()));
+    m_metrics.gauge("caller_connections", static_cast<double>(m_front.connectionCount()));
+    m_metrics.gauge("connections_opened", static_cast<double>(m_pool.opened()));
+    m_metrics.gauge("targets_usable", usable);
+    m_metrics.gauge("targets_cold", cold);
+    m_metrics.gauge("vms_alive", alive);
+    m_metrics.gauge("vms_known", static_cast<double>(m_peers.knownCount()));
+    m_metrics.gauge("config_version",
+                    m_router.config() ? static_cast<double>(m_router.config()->version) : 0.0);
+    m_metrics.gauge("store_answer_age_seconds", age(m_storeGoodAt));
+    m_metrics.gauge("owners_version", static_cast<double>(m_owners.version));
+    m_metrics.gauge("keeps_keys", m_seat.keeping(now) ? 1.0 : 0.0);
+    m_metrics.gauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
+    m_metrics.gauge("peer_bytes_sent", static_cast<double>(m_socket.bytesSent()));
+}
+
 void node::drain()
 {
     if (m_draining) {
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -85,6 +85,8 @@
     void updateLimits(time_point now);
     void serveReady(http_exchange &exchange);
     void servePeer(http_exchange &exchange);
+    void serveMetrics(http_exchange &exchange);
+    void gaugeState(time_point now);
     void fetchConfig(const std::string &ip);
     bool ready() const;
     void storeAnswered(bool good, time_point now);
@@ -97,6 +99,7 @@
     std::int64_t m_incarnation;
     deadline_queue m_deadlines;
     request_log m_log;
+    metrics m_metrics;
     outgoing_pool m_pool;
     platform_port m_platform;
     target_book m_targets;
@@ -108,6 +111,7 @@
     http_listener m_front;
     http_listener m_ready;
     http_listener m_peerListener;
+    http_listener m_metricsListener;
     boost::asio::signal_set m_signals;
 
     std::set<data_center_id> m_out;
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -624,6 +624,7 @@
             answer.set(beastView(m_router.m_names.requestId), id);
         }
         logOutcome(answer.result_int(), reason, answer.body().size());
+        countOutcome(answer, reason);
         close();
         m_exchange->answer(std::move(answer));
     }
@@ -636,8 +637,34 @@
         m_router.m_flows.erase(shared_from_this());
     }
 
+    void countOutcome(const http_answer &answer, const char *reason)
+    {
+        const bool ran = m_runs > 0 || m_fallback;
+        const duration latency = mono_clock::now() - m_exchange->arrivedAt();
+        const bool served = answer.result_int() / 100 == 2;
+        request_outcome outcome;
+        outcome.service = m_service;
+        outcome.team = m_team;
+        outcome.reason = served ? "" : reason;
+        outcome.state = served || ran ? run_state::Run
+            : m_mayHaveRun            ? run_state::Unknown
+                                      : run_state::NotRun;
+        outcome.latency = latency;
+        outcome.good = served && m_route && latency <= m_route->objective;
+        outcome.counts = answer.result_int() != 429 && answer.result_int() / 100 != 4;
+        m_router.m_metrics.add(outcome, wallMinute());
+    }
+
+    static std::int64_t wallMinute()
+    {
+        return std::chrono::duration_cast<minutes>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
     void logTry(const char *what, time_point now)
     {
+        m_router.m_metrics.count(std::string("tries_") + what);
         m_router.m_log.write(log_line("try")
                                  .add("id", field(m_router.m_names.requestId))
                                  .add("target", m_target)
@@ -708,13 +735,14 @@
 
 request_router::request_router(deadline_queue &deadlines, outgoing_pool &pool, target_book &targets,
                                token_desk &tokens, header_names names, request_log &log,
-                               std::function<void()> drawNow)
+                               metrics &counts, std::function<void()> drawNow)
     : m_deadlines(deadlines)
     , m_pool(pool)
     , m_targets(targets)
     , m_tokens(tokens)
     , m_names(std::move(names))
     , m_log(log)
+    , m_metrics(counts)
     , m_drawNow(std::move(drawNow))
 { }
 
--- a/src/Proxy/request_router.h
+++ b/src/Proxy/request_router.h
@@ -7,6 +7,7 @@
 #include "../Fleet/deployment.h"
 #include "../Fleet/part_picker.h"
 #include "../Fleet/target_book.h"
+#include "../Metrics/metrics.h"
 #include "../Ranges/key_demand.h"
 #include "../Ranges/range_map.h"
 #include "../Routing/retry_budget.h"
@@ -44,7 +45,7 @@
 public:
     /// \param drawNow called when a request waits for a token
     request_router(deadline_queue &deadlines, outgoing_pool &pool, target_book &targets,
-                   token_desk &tokens, header_names names, request_log &log,
+                   token_desk &tokens, header_names names, request_log &log, metrics &counts,
                    std::function<void()> drawNow);
     ~request_router();
 
@@ -83,6 +84,7 @@
     token_desk &m_tokens;
     header_names m_names;
     request_log &m_log;
+    metrics &m_metrics;
     std::function<void()> m_drawNow;
     std::shared_ptr<const deployment> m_config;
     std::map<service_id, range_map> m_owners;
--- a/tools/node/main.cpp
+++ b/tools/node/main.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 
 DEFINE_string(settings, "", "The settings file; by default the one the platform names");
+DEFINE_uint32(metrics_port, 9464, "Where the metrics are served");
 DEFINE_bool(check, false, "Check the settings and exit");
 
 namespace {
@@ -62,8 +63,10 @@
         std::cout << "settings are good\n";
         return 0;
     }
+    auto environment = std::get<damaskward::vm_environment>(settings);
+    environment.metricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port);
     try {
-        return run(std::get<damaskward::vm_environment>(settings));
+        return run(environment);
     } catch (const std::exception &e) {
         std::cerr << "damaskward-node: " << e.what() << '\n';
         return 1;
