--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -7,6 +7,7 @@
 #include "../Core/time.h"
 #include "../Hashing/key_hash.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <string_view>
@@ -25,6 +26,7 @@
     std::uint64_t mapVersion = 0; ///< of the map of owners it goes by
     std::uint64_t keeperVersion = 0; ///< of its lease's row if it grants keys to targets, else 0
     bool leaving = false; ///< it is about to stop
+    bool strong = true; ///< it has processor time to spare for duties of the whole fleet
     // For the VMs of its own data centre:
     std::map<std::string, int> inFlight; ///< its unanswered requests by target
     bool readsStore = false; ///< it reads the store for its data centre, and is answered
@@ -149,18 +151,21 @@
         return *best;
     }
 
-    /// \returns how many living VMs come before this one for the duty named \a duty.
-    int rankFor(std::string_view duty, time_point now) const
+    /// \returns how many living VMs come before this one for the duty named \a duty: strong ones
+    /// first, then by rendezvous hashing. Bounded, so that in a large fleet nobody waits for long.
+    /// \param strong whether this VM is a strong one
+    int rankFor(std::string_view duty, bool strong, time_point now) const
     {
+        constexpr int mostRank = 8;
         const std::uint64_t hash = keyHash(duty);
         const std::uint64_t own = combineHash(hash, m_selfHash);
         int rank = 0;
         for (const auto &[name, peer] : m_peers) {
-            if (alive(peer, now) && !peer.beat.leaving && combineHash(hash, peer.hash) > own) {
-                ++rank;
-            }
+            const bool before =
+                peer.beat.strong != strong ? peer.beat.strong : combineHash(hash, peer.hash) > own;
+            rank += before && alive(peer, now) && !peer.beat.leaving ? 1 : 0;
         }
-        return rank;
+        return std::min(rank, mostRank);
     }
 
 private:
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -33,9 +33,8 @@
 /// A grant is answered within some milliseconds; a release takes as long as the work that runs.
 constexpr milliseconds grantTimeout{300};
 constexpr milliseconds releaseTimeout{1500};
-/// VMs with less of a core than this let two others claim the keeper's lease first.
-constexpr double weakShare = 0.2;
-constexpr int weakHandicap = 2;
+/// VMs with this much of a core claim the keeper's lease before the others.
+constexpr double strongShare = 0.2;
 constexpr const char *vmRowPrefix = "vm/";
 constexpr const char *configPath = "/config";
 constexpr const char *registryPath = "/registry";
@@ -84,7 +83,7 @@
                  keeper_seat::order_callback done) { sendOrder(order, address, std::move(done)); },
           m_targets, m_peers, m_log, m_incarnation, [] { return mono_clock::now(); },
           [this](const owner_update &update) { publishOwners(update); },
-          m_environment.cpuShare < weakShare ? weakHandicap : 0)
+          m_environment.cpuShare >= strongShare)
     , m_socket(loop, m_environment.ip, m_environment.peerPort,
                [this](peer_message &&message, const std::string &ip) {
                    received(std::move(message), ip);
@@ -163,6 +162,7 @@
     beat.mapVersion = m_owners.version;
     beat.keeperVersion = m_seat.keptVersion(mono_clock::now());
     beat.leaving = m_draining;
+    beat.strong = m_environment.cpuShare >= strongShare;
     for (const auto &[name, t] : m_targets.all()) {
         if (t.inFlight > 0) {
             beat.inFlight[name] = t.inFlight;
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -74,7 +74,8 @@
                 m.readsStore,
                 m.registryVersion,
                 m.operatorRevision,
-                m.outDataCenters};
+                m.outDataCenters,
+                m.strong};
     }
     json operator()(const registry_delta &m) const
     {
@@ -142,6 +143,7 @@
     m.registryVersion = a.at(11);
     m.operatorRevision = a.at(12);
     m.outDataCenters = a.at(13).get<std::vector<std::string>>();
+    m.strong = a.at(14);
     return m;
 }
 
--- a/src/Proxy/http_listener.cpp
+++ b/src/Proxy/http_listener.cpp
@@ -232,8 +232,8 @@
             m_stopped = true;
         }
         if (exchange->m_request.count(http::field::host) != 1) {
+            m_stopped = true; // Before the answer, which then closes the connection.
             exchange->answer(plainAnswer(400));
-            m_stopped = true;
             return;
         }
         m_listener.m_serve(exchange);
--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -6,7 +6,6 @@
 #include "../Core/time.h"
 #include "../Table/table.h"
 
-#include <optional>
 
 namespace damaskward {
 
@@ -57,7 +56,7 @@
     {
         if (m_held && now >= m_leaseEnd) {
             m_held = false; // Lost: nothing is known of the row any more.
-            m_seen.reset();
+            m_seen = noVersion;
             m_quietSince = now;
         }
         if (m_busy) {
@@ -75,7 +74,7 @@
         if (now < m_quietSince + rank * m_timing.rankDelay || now < m_actAt) {
             return lease_action::None;
         }
-        const bool known = m_seen && m_read == m_seen;
+        const bool known = m_seen != noVersion && m_read == m_seen;
         const bool free = known && (m_free || now >= m_seenAt + m_timing.lease);
         return free ? lease_action::Claim : lease_action::Read;
     }
@@ -84,7 +83,7 @@
     /// stay unchanged begins before it falls silent.
     void heardVersion(row_version version, time_point now)
     {
-        if (!m_held && !m_busy && m_seen.value_or(0) < version) {
+        if (!m_held && !m_busy && (m_seen == noVersion || m_seen < version)) {
             m_seen = version;
             m_seenAt = now;
             m_free = false;
@@ -131,7 +130,7 @@
     {
         m_busy = false;
         m_held = false;
-        m_seen.reset();
+        m_seen = noVersion;
         m_quietSince = now;
         m_actAt = now;
     }
@@ -142,16 +141,18 @@
     bool held(time_point now) const { return m_held && now < m_leaseEnd; }
     time_point leaseEnd() const { return m_held ? m_leaseEnd : time_point{}; }
     /// \returns the row's version as last read or written.
-    row_version version() const { return m_seen.value_or(0); }
+    row_version version() const { return m_seen == noVersion ? 0 : m_seen; }
     bool busy() const { return m_busy; }
 
 private:
+    static constexpr row_version noVersion = ~row_version{0};
+
     lease_timing m_timing;
     bool m_held = false;
     bool m_busy = false;
     bool m_free = false;
-    std::optional<row_version> m_seen;
-    std::optional<row_version> m_read; ///< the version whose content is known
+    row_version m_seen = noVersion;
+    row_version m_read = noVersion; ///< the version whose content is known
     time_point m_seenAt{}; ///< when the row was first seen at that version
     time_point m_quietSince{}; ///< since when no other keeper was heard
     time_point m_leaseEnd{};
