--- a/src/Core/boot_clock.h
+++ b/src/Core/boot_clock.h
@@ -24,7 +24,8 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
+    // The standard names this member.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     /// \returns the present point in time.
     static time_point now() noexcept
--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace damaskward {
@@ -60,12 +61,16 @@
     /// longer than any cut that its share of a limit must be kept back for.
     static constexpr milliseconds knownTime{20000};
 
-    explicit peer_book(std::string self, std::string dataCenter = {})
+    explicit peer_book(std::string self, std::string dataCenter = {}, bool strong = true)
         : m_self(std::move(self))
         , m_dataCenter(std::move(dataCenter))
+        , m_strong(strong)
         , m_selfHash(keyHash(m_self))
     { }
 
+    /// \returns whether this VM has processor time to spare for duties of the whole fleet.
+    bool strong() const { return m_strong; }
+
     const std::string &self() const { return m_self; }
 
     /// Takes over a heartbeat. \returns whether the VM, or its present life, was unknown.
@@ -112,65 +117,61 @@
     /// \returns the number of VMs that may be acting, this one included.
     std::size_t knownCount() const { return 1 + m_peers.size(); }
 
-    /// \returns the VM that does the duty named \a duty, by rendezvous hashing over the living.
+    /// \returns the VM that does the duty named \a duty for the fleet: by rendezvous hashing over
+    /// the living, strong ones first.
     const std::string &placeOf(std::string_view duty, time_point now) const
     {
-        const std::uint64_t hash = keyHash(duty);
-        const std::string *best = &m_self;
-        std::uint64_t bestScore = combineHash(hash, m_selfHash);
-        for (const auto &[name, peer] : m_peers) {
-            if (!alive(peer, now) || peer.beat.leaving) {
-                continue;
-            }
-            const std::uint64_t score = combineHash(hash, peer.hash);
-            if (score > bestScore) {
-                best = &name;
-                bestScore = score;
-            }
-        }
-        return *best;
+        return bestPlace(duty, true, [now](const peer_state &peer) {
+            return alive(peer, now) && !peer.beat.leaving;
+        });
     }
 
     /// \returns the VM of data centre \a dc that does the duty named \a duty there; this VM if none
     /// is alive there.
     const std::string &placeWithin(std::string_view dc, std::string_view duty, time_point now) const
     {
-        const std::uint64_t hash = keyHash(duty);
-        const std::string *best = &m_self;
-        std::uint64_t bestScore = dc == m_dataCenter ? combineHash(hash, m_selfHash) : 0;
-        for (const auto &[name, peer] : m_peers) {
-            if (peer.beat.dataCenter != dc || !alive(peer, now) || peer.beat.leaving) {
-                continue;
-            }
-            const std::uint64_t score = combineHash(hash, peer.hash);
-            if (score > bestScore) {
-                best = &name;
-                bestScore = score;
-            }
-        }
-        return *best;
+        return bestPlace(duty, dc == m_dataCenter, [now, dc](const peer_state &peer) {
+            return peer.beat.dataCenter == dc && alive(peer, now) && !peer.beat.leaving;
+        });
     }
 
     /// \returns how many living VMs come before this one for the duty named \a duty: strong ones
     /// first, then by rendezvous hashing. Bounded, so that in a large fleet nobody waits for long.
-    /// \param strong whether this VM is a strong one
-    int rankFor(std::string_view duty, bool strong, time_point now) const
+    int rankFor(std::string_view duty, time_point now) const
     {
         constexpr int mostRank = 8;
         const std::uint64_t hash = keyHash(duty);
         const std::uint64_t own = combineHash(hash, m_selfHash);
         int rank = 0;
         for (const auto &[name, peer] : m_peers) {
-            const bool before =
-                peer.beat.strong != strong ? peer.beat.strong : combineHash(hash, peer.hash) > own;
+            const bool before = peer.beat.strong != m_strong ? peer.beat.strong
+                                                             : combineHash(hash, peer.hash) > own;
             rank += before && alive(peer, now) && !peer.beat.leaving ? 1 : 0;
         }
         return std::min(rank, mostRank);
     }
 
 private:
+    template <typename Counts>
+    const std::string &bestPlace(std::string_view duty, bool withSelf, Counts counts) const
+    {
+        const std::uint64_t hash = keyHash(duty);
+        using rank = std::pair<bool, std::uint64_t>; // Strength first.
+        const std::string *best = &m_self;
+        rank bestRank = withSelf ? rank(m_strong, combineHash(hash, m_selfHash)) : rank(false, 0);
+        for (const auto &[name, peer] : m_peers) {
+            const rank other(peer.beat.strong, combineHash(hash, peer.hash));
+            if (counts(peer) && bestRank < other) {
+                best = &name;
+                bestRank = other;
+            }
+        }
+        return *best;
+    }
+
     std::string m_self;
     std::string m_dataCenter;
+    bool m_strong;
     std::uint64_t m_selfHash;
     std::map<std::string, peer_state> m_peers;
 };
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -29,7 +29,7 @@
 keeper_seat::keeper_seat(store_port &store, std::string table, order_sender send,
                          target_book &targets, peer_book &peers, request_log &log,
                          std::int64_t incarnation, clock_source clock,
-                         std::function<void(const owner_update &)> publish, bool strong)
+                         std::function<void(const owner_update &)> publish)
     : m_store(store)
     , m_table(std::move(table))
     , m_send(std::move(send))
@@ -39,7 +39,6 @@
     , m_incarnation(incarnation)
     , m_clock(std::move(clock))
     , m_publish(std::move(publish))
-    , m_strong(strong)
     , m_lease(lease_timing{})
 { }
 
@@ -133,8 +132,8 @@
     const bool kept = !m_keepers.empty();
     // Before a weak VM has heard of the others, it takes some of them for strong.
     constexpr int unknownStrong = 4;
-    const int rank = m_strong ? m_peers.rankFor(keeperDuty, true, now)
-                              : std::max(unknownStrong, m_peers.rankFor(keeperDuty, false, now));
+    const int rank = m_peers.strong() ? m_peers.rankFor(keeperDuty, now)
+                                      : std::max(unknownStrong, m_peers.rankFor(keeperDuty, now));
     const lease_action action = m_lease.step(otherKeeperAlive(now), rank, now);
     if (kept && !m_lease.held(now)) {
         drop("lease ran out", now);
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -42,10 +42,9 @@
 
     /// \param table the table of the product's own rows
     /// \param publish called with the owners whenever they change
-    /// \param strong this VM has processor time to spare; weak ones let strong ones claim first
     keeper_seat(store_port &store, std::string table, order_sender send, target_book &targets,
                 peer_book &peers, request_log &log, std::int64_t incarnation, clock_source clock,
-                std::function<void(const owner_update &)> publish, bool strong = true);
+                std::function<void(const owner_update &)> publish);
 
     /// Takes over which services are divided by key.
     void setDeployment(const deployment &config);
@@ -101,7 +100,6 @@
     clock_source m_clock;
     std::function<void(const owner_update &)> m_publish;
 
-    bool m_strong;
     keeper_lease m_lease;
     std::map<service_id, int> m_keyed; ///< services divided by key
     seat_row m_row; ///< as last read
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -33,7 +33,7 @@
 /// A grant is answered within some milliseconds; a release takes as long as the work that runs.
 constexpr milliseconds grantTimeout{300};
 constexpr milliseconds releaseTimeout{1500};
-/// VMs with this much of a core claim the keeper's lease before the others.
+/// VMs with this much of a core do the fleet's duties before the others.
 constexpr double strongShare = 0.2;
 constexpr const char *vmRowPrefix = "vm/";
 constexpr const char *configPath = "/config";
@@ -71,7 +71,8 @@
     , m_pool(loop, m_deadlines, requestIdField)
     , m_platform(makePort(m_pool))
     , m_targets(m_environment.dataCenter)
-    , m_peers(m_environment.name.str(), m_environment.dataCenter.str())
+    , m_peers(m_environment.name.str(), m_environment.dataCenter.str(),
+              m_environment.cpuShare >= strongShare)
     , m_tokens(
           m_environment.name.str(), [this](std::string_view name) { return limitOf(name); },
           [this] { return m_peers.reachableShare(mono_clock::now()); })
@@ -82,8 +83,7 @@
           [this](const range_order &order, const std::string &address,
                  keeper_seat::order_callback done) { sendOrder(order, address, std::move(done)); },
           m_targets, m_peers, m_log, m_incarnation, [] { return mono_clock::now(); },
-          [this](const owner_update &update) { publishOwners(update); },
-          m_environment.cpuShare >= strongShare)
+          [this](const owner_update &update) { publishOwners(update); })
     , m_socket(loop, m_environment.ip, m_environment.peerPort,
                [this](peer_message &&message, const std::string &ip) {
                    received(std::move(message), ip);
@@ -162,7 +162,7 @@
     beat.mapVersion = m_owners.version;
     beat.keeperVersion = m_seat.keptVersion(mono_clock::now());
     beat.leaving = m_draining;
-    beat.strong = m_environment.cpuShare >= strongShare;
+    beat.strong = m_peers.strong();
     for (const auto &[name, t] : m_targets.all()) {
         if (t.inFlight > 0) {
             beat.inFlight[name] = t.inFlight;
@@ -257,7 +257,9 @@
     if (m_peers.heard(beat, now)) {
         m_log.write(log_line("peer").add("name", beat.name).add("ip", fromIp));
     }
-    if (beat.mapVersion > m_owners.version) {
+    // Updates pass between data centres once, so only neighbours and a data centre's reader ask.
+    const bool near = beat.dataCenter == m_environment.dataCenter.str();
+    if (beat.mapVersion > m_owners.version && (near || readsForOthers(now))) {
         m_socket.send(fromIp, owner_query{m_environment.name.str()});
     }
     const std::uint64_t version = m_router.config() ? m_router.config()->version : 0;
@@ -674,11 +676,12 @@
     const bool returning = m_storeBackAt != time_point{} && now < m_storeBackAt + recordsReturn;
     if (returning) {
         // Targets whose records lapsed meanwhile have not had the time to write them again.
+        std::set<std::string> read;
+        for (const target_record &record : records) {
+            read.insert(record.name);
+        }
         for (const auto &[name, t] : m_targets.all()) {
-            const bool missing = std::none_of(records.begin(), records.end(), [&](const auto &r) {
-                return r.name == t.record.name;
-            });
-            if (missing && t.listed) {
+            if (t.listed && read.count(name) == 0) {
                 records.push_back(t.record);
             }
         }
@@ -822,6 +825,9 @@
 
 void node::finishDrain()
 {
+    // The platform may go on sending callers here, when few VMs of a data centre are left. Taken to
+    // the end, the last of them would be cut.
+    m_front.stopAccepting();
     m_front.closeIdle();
     const time_point now = mono_clock::now();
     if ((m_router.underWay() == 0 && m_front.connectionCount() == 0) || now >= m_drainEnd) {
--- a/src/Proxy/http_listener.cpp
+++ b/src/Proxy/http_listener.cpp
@@ -397,6 +397,12 @@
     }
 }
 
+void http_listener::stopAccepting()
+{
+    boost::system::error_code ignored; // Closed already.
+    m_acceptor.close(ignored);
+}
+
 void http_listener::closeIdle()
 {
     const auto connections = m_connections;
--- a/src/Proxy/http_listener.h
+++ b/src/Proxy/http_listener.h
@@ -84,6 +84,8 @@
     /// From now on every answer closes its connection.
     void drain() { m_draining = true; }
     bool draining() const { return m_draining; }
+    /// Accepts no more connections; those that are open go on.
+    void stopAccepting();
     /// Closes the connections that have no request under way.
     void closeIdle();
     /// \returns how many connections are open.
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -232,20 +232,26 @@
             }
         }
         CPPUNIT_ASSERT(book.placeOf(duty, later) != place);
-        CPPUNIT_ASSERT_EQUAL(0, peer_book("alone").rankFor(duty, true, later));
+        CPPUNIT_ASSERT_EQUAL(0, peer_book("alone").rankFor(duty, later));
     }
 
     void strongVmsComeFirst()
     {
-        peer_book book("vm-0");
+        peer_book weak("vm-0", "near", false);
+        peer_book strong("vm-0", "near", true);
         for (int i = 1; i < 60; ++i) {
             peer_beat beat = beatOf("vm-" + std::to_string(i));
             beat.strong = i <= 3;
-            book.heard(beat, start);
+            weak.heard(beat, start);
+            strong.heard(beat, start);
+        }
+        CPPUNIT_ASSERT(weak.rankFor("keeper", start) >= 3);
+        CPPUNIT_ASSERT(weak.rankFor("keeper", start) <= 8);
+        CPPUNIT_ASSERT(strong.rankFor("keeper", start) <= 3);
+        for (int duty = 0; duty < 50; ++duty) {
+            const std::string place = weak.placeOf("team/" + std::to_string(duty), start);
+            CPPUNIT_ASSERT(place == "vm-1" || place == "vm-2" || place == "vm-3");
         }
-        CPPUNIT_ASSERT(book.rankFor("keeper", false, start) >= 3);
-        CPPUNIT_ASSERT(book.rankFor("keeper", false, start) <= 8);
-        CPPUNIT_ASSERT(book.rankFor("keeper", true, start) <= 3);
     }
 
     /// Two parts of a cut fleet together never count more than the whole.
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -225,6 +225,7 @@
     CPPUNIT_TEST(limitsAreKept);
     CPPUNIT_TEST(slowHeaderTimesOut);
     CPPUNIT_TEST(drainingClosesAfterTheAnswer);
+    CPPUNIT_TEST(stoppedListenerFinishesWhatItHas);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
     CPPUNIT_TEST(connectionsAreKept);
     CPPUNIT_TEST(strayAnswerIsSkipped);
@@ -326,6 +327,28 @@
         CPPUNIT_ASSERT(server.closed);
     }
 
+    /// A planned stop: what is under way is answered, a new caller is refused at once.
+    void stoppedListenerFinishesWhatItHas()
+    {
+        echo_server server;
+        std::string got;
+        std::thread caller([&] { got = server.talk("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"); });
+        while (server.served == 0) {
+            std::this_thread::yield();
+        }
+        server.loop().call([&] {
+            server.listener().drain();
+            server.listener().stopAccepting();
+        });
+        asio::io_context context;
+        tcp::socket late(context);
+        boost::system::error_code error;
+        late.connect(tcpEndpoint(server.address), error);
+        CPPUNIT_ASSERT(error == asio::error::connection_refused);
+        caller.join();
+        CPPUNIT_ASSERT(got.find("GET /slow") != std::string::npos);
+    }
+
     void callerThatLeavesIsNoticed()
     {
         echo_server server;
--- a/tools/common/process.h
+++ b/tools/common/process.h
@@ -10,7 +10,7 @@
 
 namespace damaskward {
 
-/// Exit codes of all programs; documented in docs/OPERATORS.md.
+/// Exit codes of all programs; documented in docs/OPERATIONS.md.
 enum exit_code : int {
     ExitOk = 0,
     ExitFailed = 1, ///< the work could not be done
