--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -6,7 +6,6 @@
 #include "../Core/time.h"
 #include "../Table/table.h"
 
-
 namespace damaskward {
 
 /// Spans of the keeper's lease.
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -104,6 +104,7 @@
     static std::vector<owner_candidate> candidates(int count)
     {
         std::vector<owner_candidate> result;
+        result.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) {
             result.push_back({"t" + std::to_string(i), 1, 2.0});
         }
--- a/test/support/range_world.cpp
+++ b/test/support/range_world.cpp
@@ -115,7 +115,7 @@
         }
     }
 
-    void readStore(world_vm &vm, row_callback done)
+    void readStore(world_vm &vm, const row_callback &done)
     {
         const bool lost = vm.cutFromStore || m_storeDown;
         after(between(milliseconds(2), milliseconds(10)), [this, &vm, lost, done] {
@@ -132,7 +132,8 @@
         });
     }
 
-    void commitStore(world_vm &vm, const table_transaction &transaction, commit_callback done)
+    void commitStore(world_vm &vm, const table_transaction &transaction,
+                     const commit_callback &done)
     {
         if (vm.cutFromStore || m_storeDown) {
             after(milliseconds(1200), [this, &vm, done] { onVm(vm, [done] { done({}); }); });
@@ -162,7 +163,7 @@
         }
     }
 
-    void sendOrder(world_vm &vm, const range_order &order, keeper_seat::order_callback done)
+    void sendOrder(world_vm &vm, const range_order &order, const keeper_seat::order_callback &done)
     {
         const std::string name = std::visit([](const auto &o) { return o.target; }, order);
         const std::int64_t life = std::visit([](const auto &o) { return o.incarnation; }, order);
@@ -228,7 +229,7 @@
         m_targets[name] = t;
     }
 
-    void every(duration pause, duration first, std::function<void()> action)
+    void every(duration pause, duration first, const std::function<void()> &action)
     {
         after(first, [this, pause, action] {
             action();
@@ -495,19 +496,17 @@
     , peers(vmName)
     , log(vmName, -1)
 {
-    store.read = [this, &w](const std::string &, const std::string &, row_callback done) {
-        w.readStore(*this, std::move(done));
+    store.read = [this, &w](const std::string &, const std::string &, const row_callback &done) {
+        w.readStore(*this, done);
     };
     store.commit = [this, &w](const std::string &, const table_transaction &transaction,
-                              commit_callback done) {
-        w.commitStore(*this, transaction, std::move(done));
+                              const commit_callback &done) {
+        w.commitStore(*this, transaction, done);
     };
     seat = std::make_unique<keeper_seat>(
         store, "own",
         [this, &w](const range_order &order, const std::string &,
-                   keeper_seat::order_callback done) {
-            w.sendOrder(*this, order, std::move(done));
-        },
+                   const keeper_seat::order_callback &done) { w.sendOrder(*this, order, done); },
         targets, peers, log, 1, [this, &w] { return w.clockOf(*this); },
         [](const owner_update &) {});
     deployment config;
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -74,7 +74,7 @@
         m_loop.call([&] {
             m_listener = std::make_unique<http_listener>(
                 m_loop.loop, m_loop.deadlines, address, [limits] { return limits; },
-                [this](std::shared_ptr<http_exchange> exchange) { serve(std::move(exchange)); });
+                [this](const std::shared_ptr<http_exchange> &exchange) { serve(exchange); });
         });
     }
     ~echo_server()
@@ -113,7 +113,7 @@
     loop_thread &loop() { return m_loop; }
 
 private:
-    void serve(std::shared_ptr<http_exchange> exchange)
+    void serve(const std::shared_ptr<http_exchange> &exchange)
     {
         ++served;
         const std::string target(exchange->request().target());
@@ -274,8 +274,9 @@
     void smuggledRequestsAreRefused()
     {
         const std::vector<std::string> cases = {
-            "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
-            "0\r\n\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n",
+            ("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n"
+             "0\r\n\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n"),
             "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
             "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length : 4\r\n\r\nabcd",
             "GET /x HTTP/1.1\nHost: a\n\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n",
