--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -201,19 +201,6 @@
     return best;
 }
 
-double target_book::pressure(const service_id &service, time_point now) const
-{
-    double load = 0.0;
-    double slots = 0.0;
-    for (const auto &[name, t] : m_targets) {
-        if (t.record.service == service && usable(t, now) && !cold(t, now)) {
-            load += expectedLoad(t, now);
-            slots += t.record.slots;
-        }
-    }
-    return slots > 0.0 ? (load - slots) / slots : std::numeric_limits<double>::max();
-}
-
 void target_book::ended(target_state &t, std::optional<duration> answeredIn, time_point now)
 {
     t.inFlight = std::max(0, t.inFlight - 1);
--- a/src/Fleet/target_book.h
+++ b/src/Fleet/target_book.h
@@ -102,10 +102,6 @@
     target_state *choose(const service_id &service, const std::set<std::string> &except,
                          bool preferNear, bool allowCold, time_point now);
 
-    /// \returns how many requests of this service wait beyond its slots, divided by its slots;
-    /// negative while slots are free.
-    double pressure(const service_id &service, time_point now) const;
-
     /// A request has been sent to \a t.
     static void started(target_state &t) { ++t.inFlight; }
     /// It has ended. \param answeredIn its answer time, or nothing when it failed
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -136,7 +136,7 @@
                                       : std::max(unknownStrong, m_peers.rankFor(keeperDuty, now));
     const lease_action action = m_lease.step(otherKeeperAlive(now), rank, now);
     if (kept && !m_lease.held(now)) {
-        drop("lease ran out", now);
+        drop("lease ran out");
     }
     switch (action) {
     case lease_action::Read:
@@ -386,12 +386,12 @@
             applied(rows->rows.front().version, sentAt);
             return;
         }
-        drop("another VM has written the row", now);
+        drop("another VM has written the row");
         m_lease.lost(now);
     });
 }
 
-void keeper_seat::drop(const char *reason, time_point now)
+void keeper_seat::drop(const char *reason)
 {
     if (!m_keepers.empty()) {
         m_log.write(log_line("keeper ends").add("reason", reason).add("epoch", m_row.epoch));
@@ -402,7 +402,6 @@
     m_claiming = false;
     m_failingSince = time_point{};
     m_heldOver = false;
-    (void)now;
 }
 
 void keeper_seat::publishIfChanged(time_point now)
@@ -445,7 +444,7 @@
 {
     if (!m_lease.held(now) || !m_writing.empty()) {
         m_leaving = true;
-        drop("leaves", now);
+        drop("leaves");
         return;
     }
     m_leaving = true;
@@ -460,7 +459,7 @@
     m_store.commit(m_table, transaction, [](commit_answer &&) {
         // Unanswered or not: without a renewal the lease runs out by itself.
     });
-    drop("leaves", now);
+    drop("leaves");
 }
 
 } // namespace damaskward
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -87,7 +87,7 @@
     void written(commit_answer &&answer, time_point sentAt);
     void applied(row_version version, time_point sentAt);
     void compareRow(time_point sentAt);
-    void drop(const char *reason, time_point now);
+    void drop(const char *reason);
     void publishIfChanged(time_point now);
 
     store_port &m_store;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -694,8 +694,7 @@
     table_transaction transaction;
     transaction.puts.push_back({vmRowPrefix + m_environment.name.str(), m_environment.ip});
     m_platform.store.commit(m_platform.ownTable, transaction, [this](commit_answer &&answer) {
-        m_registered = answer.outcome == commit_outcome::Applied;
-        if (m_registered) {
+        if (answer.outcome == commit_outcome::Applied) {
             readPeers();
         } else {
             after(storeRetryPause, [this] { registerSelf(); });
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -133,7 +133,6 @@
     bool m_storeLost = false;
     bool m_draining = false;
     time_point m_drainEnd{};
-    bool m_registered = false;
 };
 
 } // namespace damaskward
--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -141,7 +141,6 @@
     time_point leaseEnd() const { return m_held ? m_leaseEnd : time_point{}; }
     /// \returns the row's version as last read or written.
     row_version version() const { return m_seen == noVersion ? 0 : m_seen; }
-    bool busy() const { return m_busy; }
 
 private:
     static constexpr row_version noVersion = ~row_version{0};
