Requests behind a draw are not denied; a bank that moves opens with tokens

A draw asks for the requests that wait when it is sent; its answer woke all that waited by then, and those beyond the grant were refused as over the limit. A bank that had just taken over answered 'none' before it was open. Ruled out: limits too low (admitted stayed under half of them), bursts held by tokens that lapse (a third of a second of the rate). Change: an answer settles only the requests that its draw covered; a bank that is not open says so, and the requests wait; a lost draw is repeated after 120 ms; a request waits once for a token, not again at each change of owners. A new bank begins with a third of the overshoot that the platform's settings tolerate. Silence of a bank is a 503, not a 429.

--- a/src/Admission/team_account.h
+++ b/src/Admission/team_account.h
@@ -25,8 +25,10 @@
 public:
     /// \param windowsAhead how many windows' spending is drawn ahead; 0 draws only for requests
     ///        that wait, so that no token lapses unspent where a draw takes a few milliseconds
-    explicit team_account(int windowsAhead = 2)
+    /// \param drawTimeout when a draw counts as lost; not longer than tokens live
+    explicit team_account(int windowsAhead = 2, milliseconds drawTimeout = tokenLifetime)
         : m_windowsAhead(windowsAhead)
+        , m_drawTimeout(drawTimeout)
     { }
 
     /// Spends one token. \returns false when none is held.
@@ -56,7 +58,7 @@
         const int reserve = std::min(m_windowsAhead * m_recentlySpent, maxReserve);
         const int wanted = waiting + std::max(0, reserve - held);
         m_sentAt = now;
-        m_giveUpAt = now + tokenLifetime;
+        m_giveUpAt = now + m_drawTimeout;
         return draw_request{self, ++m_sequence, wanted, held};
     }
 
@@ -95,6 +97,7 @@
     }
 
     int m_windowsAhead;
+    milliseconds m_drawTimeout;
     int m_held = 0;
     int m_spentInWindow = 0;
     int m_recentlySpent = 0; ///< in the window before this one
--- a/src/Admission/team_bank.h
+++ b/src/Admission/team_bank.h
@@ -29,6 +29,7 @@
     int granted = 0;
     std::int64_t lifetimeMicros = 0; ///< how long the tokens held and granted may be spent
     std::int64_t retryMicros = 0; ///< when fewer were given than wanted: when to ask again
+    bool open = true; ///< false: the bank does not act yet, and has not denied anything
 };
 
 /// \class team_bank
@@ -71,6 +72,10 @@
     {
         draw_answer answer;
         if (now < m_filledAt || now >= authority) {
+            answer.open = false;
+            answer.retryMicros =
+                std::chrono::duration_cast<microseconds>(std::max(duration::zero(), m_filledAt - now))
+                    .count();
             return answer;
         }
         batch &held = m_drawn[request.from];
--- a/src/Admission/token_desk.h
+++ b/src/Admission/token_desk.h
@@ -8,7 +8,10 @@
 #include "team_account.h"
 #include "team_bank.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +25,7 @@
 {
     double rate = 0.0; ///< tokens a second
     double burst = 0.0; ///< tokens at the most
+    double start = 0.0; ///< tokens that a new bank begins with, though the former one's are unknown
 };
 
 /// A draw on its way to the VM that keeps the bank.
@@ -39,15 +43,24 @@
     draw_answer answer;
 };
 
+/// What a request that waits for a token is told.
+enum class token_reply {
+    Granted, ///< trySpend() succeeds now
+    Denied ///< the bank has no token for it
+};
+
 /// \class token_desk
 /// \brief Spends tokens of named limits. The bank of a limit is one VM, the same for all that are
 /// in contact; a part of the fleet that is cut off gets its part of the limit.
 ///
+/// A request that begins to wait while a draw is under way is covered by the next draw, and a bank
+/// that has just taken over makes all wait until it opens: neither is a denial.
+///
 /// Without I/O; not thread-safe.
 ///
 /// \code
 /// if (!desk.trySpend("team/dojo", now))
-///     desk.waitFor("team/dojo", [] { tryAgain(); });
+///     desk.waitFor("team/dojo", [](token_reply reply) { tryAgain(reply); });
 /// for (const token_draw &draw : desk.draws(now))
 ///     sendToBank(draw);
 /// \endcode
@@ -72,10 +85,13 @@
         return m_accounts[limit].account.trySpend(now);
     }
 
-    /// Calls \a retry when the bank has answered; whoever finds no token then is over the limit.
-    void waitFor(const std::string &limit, std::function<void()> retry)
+    /// Called once, when the bank has answered.
+    using token_callback = std::function<void(token_reply)>;
+
+    /// Calls \a replied when the bank has decided on a draw that covers it.
+    void waitFor(const std::string &limit, token_callback replied)
     {
-        m_accounts[limit].waiting.push_back(std::move(retry));
+        m_accounts[limit].waiting.push_back(std::move(replied));
     }
 
     /// \returns the draws to send now.
@@ -86,21 +102,27 @@
             const int waiting = static_cast<int>(entry.waiting.size());
             if (auto request = entry.account.nextDraw(vm_id(m_self), waiting, now)) {
                 entry.sequence = request->sequence;
+                entry.covered = entry.waiting.size();
                 result.push_back({limit, *request});
             }
         }
         return result;
     }
 
-    /// Takes in a bank's answer and lets the waiting try again.
-    void granted(const token_grant &grant, time_point now)
+    /// Takes in a bank's answer and tells those that the draw covered.
+    /// \returns whether requests still wait, so that another draw is due
+    bool granted(const token_grant &grant, time_point now)
     {
         const auto it = m_accounts.find(grant.limit);
         if (it == m_accounts.end() || it->second.sequence != grant.sequence) {
-            return; // An answer to a draw that was given up.
+            return false; // An answer to a draw that was given up.
+        }
+        desk_entry &entry = it->second;
+        entry.account.finishDraw(grant.answer, now);
+        if (grant.answer.open) {
+            tellCovered(entry, grant.answer.granted);
         }
-        it->second.account.finishDraw(grant.answer, now);
-        wake(it->second);
+        return !entry.waiting.empty();
     }
 
     /// Answers a draw as the bank. \returns nothing for a limit that is not known here.
@@ -111,15 +133,7 @@
             return std::nullopt;
         }
         const double share = m_share();
-        auto it = m_banks.find(draw.limit);
-        if (it == m_banks.end()) {
-            // Tokens of an earlier bank lapse within their lifetime.
-            it = m_banks
-                     .emplace(
-                         draw.limit,
-                         team_bank(limit->rate * share, limit->burst * share, now + tokenLifetime))
-                     .first;
-        }
+        const auto it = openBank(draw.limit, *limit, share, now);
         it->second.setLimit(limit->rate * share, std::max(1.0, limit->burst * share), now);
         return token_grant{draw.limit, draw.request.sequence,
                            it->second.draw(draw.request, now + tokenLifetime, now)};
@@ -138,30 +152,49 @@
     void open(const std::string &limit, time_point now)
     {
         const auto known = m_limits(limit);
-        if (known && m_banks.count(limit) == 0) {
-            m_banks.emplace(
-                limit,
-                team_bank(known->rate * m_share(), known->burst * m_share(), now + tokenLifetime));
+        if (known) {
+            openBank(limit, *known, m_share(), now);
         }
     }
 
 private:
+    /// A draw and its answer take a few milliseconds; one lost on the way is repeated after this.
+    static constexpr milliseconds drawTimeout{120};
+
     struct desk_entry
     {
-        team_account account{0};
+        team_account account{0, drawTimeout};
         std::uint64_t sequence = 0; ///< of the draw under way
-        std::vector<std::function<void()>> waiting;
+        std::size_t covered = 0; ///< how many of the waiting, from the first, that draw is for
+        std::vector<token_callback> waiting;
     };
 
-    static void wake(desk_entry &e)
+    static void tellCovered(desk_entry &e, int tokens)
     {
-        const auto waiting = std::move(e.waiting);
-        e.waiting.clear();
-        for (const auto &retry : waiting) {
-            retry();
+        const auto first = e.waiting.begin();
+        const auto end =
+            first + static_cast<std::ptrdiff_t>(std::min(e.covered, e.waiting.size()));
+        const std::vector<token_callback> covered(std::make_move_iterator(first),
+                                                  std::make_move_iterator(end));
+        e.waiting.erase(first, end);
+        e.covered = 0;
+        for (const token_callback &replied : covered) {
+            replied(tokens-- > 0 ? token_reply::Granted : token_reply::Denied);
         }
     }
 
+    /// \returns the bank of \a limit, opened if it was not: tokens of an earlier one lapse within
+    /// their lifetime.
+    std::map<std::string, team_bank>::iterator
+    openBank(const std::string &name, const fleet_limit &limit, double share, time_point now)
+    {
+        const double burst = std::max(1.0, limit.burst * share);
+        return m_banks
+            .try_emplace(name, limit.rate * share, burst, now + tokenLifetime,
+                         std::min(burst, limit.start * share))
+            .first;
+    }
+
     std::string m_self;
     limit_source m_limits;
     share_source m_share;
--- a/src/Fleet/vm_environment.h
+++ b/src/Fleet/vm_environment.h
@@ -22,6 +22,9 @@
     double retryShare = 0.2; ///< repeated sends per request, over the whole fleet
     double retrySlack = 64.0; ///< repeated sends beyond that share
     seconds retryWindow{10}; ///< the window of both
+    double teamOvershoot = 0.1; ///< of what a team's limit allows in a window, that is tolerated
+    double teamSlack = 20.0; ///< requests tolerated beyond that
+    seconds teamWindow{5}; ///< the window of both
 };
 
 /// A process's surroundings.
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -47,6 +47,18 @@
 /// learn of a leaving target within its two seconds.
 constexpr milliseconds readerGoodFor{1300};
 
+/// Share of the tolerated overshoot that a new bank of a team begins with. Within one window a bank
+/// may move to another VM and back; a third is left for tokens that are spent late.
+constexpr double bankStartShare = 1.0 / 3.0;
+
+/// \returns the tokens that a new bank of a team begins with.
+double bankStart(const team_settings &team, const fleet_bounds &bounds)
+{
+    const double window = std::chrono::duration<double>(bounds.teamWindow).count();
+    return bankStartShare
+        * (bounds.teamOvershoot * (team.rate * window + team.burst) + bounds.teamSlack);
+}
+
 std::int64_t wallMillis()
 {
     return std::chrono::duration_cast<milliseconds>(
@@ -242,7 +254,7 @@
             m_socket.send(fromIp, *grant);
         }
     } else if (const auto *grant = std::get_if<token_grant>(&message)) {
-        m_tokens.granted(*grant, now);
+        takeTokens(*grant, now);
     } else if (const auto *delta = std::get_if<registry_delta>(&message)) {
         followRegistry(*delta);
     }
@@ -359,7 +371,7 @@
         if (!team || team->rate <= 0.0) {
             return std::nullopt;
         }
-        return fleet_limit{team->rate, team->burst};
+        return fleet_limit{team->rate, team->burst, bankStart(*team, m_environment.bounds)};
     }
     const target_state *target = m_targets.find(rest);
     const service_settings *service = target ? config->service(target->record.service) : nullptr;
@@ -398,7 +410,7 @@
             if (const auto grant = m_tokens.serve(draw, now)) {
                 // Not from within the request that asked.
                 after(duration::zero(),
-                      [this, grant = *grant] { m_tokens.granted(grant, mono_clock::now()); });
+                      [this, grant = *grant] { takeTokens(grant, mono_clock::now()); });
             }
             continue;
         }
@@ -409,6 +421,14 @@
     }
 }
 
+void node::takeTokens(const token_grant &grant, time_point now)
+{
+    if (m_tokens.granted(grant, now)) {
+        constexpr microseconds leastPause{5000}; // Those that wait are drawn for together.
+        after(std::max(leastPause, microseconds(grant.answer.retryMicros)), [this] { sendDraws(); });
+    }
+}
+
 // The store.
 
 void node::storeAnswered(bool good, time_point now)
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -78,6 +78,7 @@
     void takeOwners(const owner_update &update);
     void publishOwners(const owner_update &update);
     void sendDraws();
+    void takeTokens(const token_grant &grant, time_point now);
     void sendDemand(time_point now);
     void sendOrder(const range_order &order, const std::string &address,
                    keeper_seat::order_callback done);
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -123,7 +123,8 @@
                 m.sequence,
                 m.answer.granted,
                 m.answer.lifetimeMicros,
-                m.answer.retryMicros};
+                m.answer.retryMicros,
+                m.answer.open};
     }
 };
 
@@ -199,7 +200,7 @@
 
 token_grant decodeGrant(const json &a)
 {
-    return {a.at(1), a.at(2), {a.at(3), a.at(4), a.at(5)}};
+    return {a.at(1), a.at(2), {a.at(3), a.at(4), a.at(5), a.at(6)}};
 }
 
 std::optional<peer_message> decodeArray(const json &a)
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -210,28 +210,35 @@
             m_paid = true;
             return true;
         }
-        if (m_bankAnswered || now >= m_exchange->arrivedAt() + mostTokenWait) {
+        if (m_tokenDenied) {
             refuse(429, "team over its limit", overLimitRetryAfter);
-            return false;
+        } else if (now >= m_exchange->arrivedAt() + mostTokenWait) {
+            refuse(503, "bank is silent", usualRetryAfter);
+        } else {
+            waitForToken(m_limit, m_exchange->arrivedAt() + mostTokenWait, now);
         }
-        waitForToken(m_limit, m_exchange->arrivedAt() + mostTokenWait);
         return false;
     }
 
-    void waitForToken(const std::string &limit, time_point until)
+    /// Waits for the bank of \a limit, once at a time, at most until \a until.
+    void waitForToken(const std::string &limit, time_point until, time_point now)
     {
-        m_router.m_tokens.waitFor(limit, [weak = weak_from_this()] {
+        if (now < m_tokenWaitEnd) {
+            return;
+        }
+        m_tokenWaitEnd = until;
+        m_router.m_tokens.waitFor(limit, [weak = weak_from_this()](token_reply reply) {
             if (const auto self = weak.lock()) {
-                self->m_bankAnswered = true;
+                self->m_tokenWaitEnd = time_point{};
+                self->m_tokenDenied = reply == token_reply::Denied;
                 self->proceed();
             }
         });
         m_router.m_drawNow();
-        park(until);
+        proceedAt(until);
     }
 
-    /// Waits for news, at most until \a until.
-    void park(time_point until)
+    void proceedAt(time_point until)
     {
         m_router.m_deadlines.remove(m_parkId);
         m_parkId = m_router.m_deadlines.add(std::min(until, m_deadline), [weak = weak_from_this()] {
@@ -240,6 +247,12 @@
                 self->proceed();
             }
         });
+    }
+
+    /// Waits for news, at most until \a until.
+    void park(time_point until)
+    {
+        proceedAt(until);
         m_router.addParked(weak_from_this());
     }
 
@@ -307,7 +320,7 @@
     bool payWarmup(const target_state &target, time_point now)
     {
         const std::string limit = "cold/" + target.record.name;
-        m_bankAnswered = false; // That was the team's bank, if any.
+        m_tokenDenied = false; // The next token may well come within the wait.
         if (m_router.m_tokens.trySpend(limit, now)) {
             return true;
         }
@@ -318,7 +331,7 @@
             refuseUnlessRun(503, "target is cold", milliseconds(300));
             return false;
         }
-        waitForToken(limit, m_warmupWaitEnd);
+        waitForToken(limit, m_warmupWaitEnd, now);
         return false;
     }
 
@@ -713,6 +726,7 @@
     time_point m_callerDeadline{};
     time_point m_deadline{};
     time_point m_ownerWaitEnd{};
+    time_point m_tokenWaitEnd{}; ///< while a bank is asked for a token
     time_point m_warmupWaitEnd{};
     time_point m_sentAt{};
     deadline_queue::deadline_id m_deadlineId = 0;
@@ -724,7 +738,7 @@
     int m_runs = 0; ///< sends that were run or may have been
     int m_turnedAway = 0;
     bool m_paid = false;
-    bool m_bankAnswered = false;
+    bool m_tokenDenied = false;
     bool m_sending = false;
     bool m_sentToIdle = false;
     bool m_mayHaveRun = false;
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -1,5 +1,6 @@
 // What a VM knows of targets and of other VMs, and what VMs tell each other.
 
+#include "src/Admission/token_desk.h"
 #include "src/Fleet/part_picker.h"
 #include "src/Fleet/peer_book.h"
 #include "src/Fleet/registry_relay.h"
@@ -46,6 +47,9 @@
     CPPUNIT_TEST(dutiesMoveWithTheLiving);
     CPPUNIT_TEST(strongVmsComeFirst);
     CPPUNIT_TEST(cutPartsShareALimit);
+    CPPUNIT_TEST(requestsBehindADrawAreNotDenied);
+    CPPUNIT_TEST(closedBankDeniesNobody);
+    CPPUNIT_TEST(movedBankStaysInsideTheTolerance);
     CPPUNIT_TEST(overtakenBeatIsIgnored);
     CPPUNIT_TEST(leaseIsClaimedAfterItsLapse);
     CPPUNIT_TEST(heartbeatVersionSavesASecondWait);
@@ -276,6 +280,88 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, sum, 1e-9);
     }
 
+    /// One VM that is its own bank, with a limit of 20 a second.
+    static token_desk deskOf(double startTokens)
+    {
+        return token_desk(
+            "vm-0",
+            [startTokens](std::string_view) { return fleet_limit{20.0, 20.0, startTokens}; },
+            [] { return 1.0; });
+    }
+
+    // The pattern of pipelined requests of one team, and of many callers at a busy VM: one arrives
+    // while the draw for another is under way.
+    void requestsBehindADrawAreNotDenied()
+    {
+        token_desk desk = deskOf(5.0);
+        desk.open("team/a", start);
+        const time_point now = start + seconds(1);
+        std::vector<token_reply> replies;
+        const auto note = [&replies](token_reply reply) { replies.push_back(reply); };
+        desk.waitFor("team/a", note);
+        const auto draws = desk.draws(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, draws.size());
+        desk.waitFor("team/a", note);
+        const auto grant = desk.serve(draws.front(), now);
+        CPPUNIT_ASSERT(desk.granted(*grant, now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.size());
+        CPPUNIT_ASSERT(replies.front() == token_reply::Granted);
+        CPPUNIT_ASSERT(desk.trySpend("team/a", now));
+        const auto next = desk.draws(now + milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT_EQUAL(1, next.front().request.wanted);
+    }
+
+    void closedBankDeniesNobody()
+    {
+        token_desk desk = deskOf(2.0);
+        std::vector<token_reply> replies;
+        for (int i = 0; i < 4; ++i) {
+            desk.waitFor("team/a", [&replies](token_reply reply) { replies.push_back(reply); });
+        }
+        CPPUNIT_ASSERT(desk.granted(*desk.serve(desk.draws(start).front(), start), start));
+        CPPUNIT_ASSERT(replies.empty());
+        const time_point opened = start + tokenLifetime;
+        const auto draw = desk.draws(opened).front();
+        CPPUNIT_ASSERT(!desk.granted(*desk.serve(draw, opened), opened));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, replies.size());
+        CPPUNIT_ASSERT(replies[1] == token_reply::Granted);
+        CPPUNIT_ASSERT(replies[2] == token_reply::Denied);
+    }
+
+    // A team at ten times its rate while its bank moves to another VM and back inside one window.
+    void movedBankStaysInsideTheTolerance()
+    {
+        constexpr double rate = 20.0;
+        constexpr double overshoot = 0.1;
+        constexpr double slack = 20.0;
+        constexpr double window = 5.0;
+        const double allowed = (rate * window + rate) * (1.0 + overshoot) + slack;
+        token_desk desk = deskOf((overshoot * (rate * window + rate) + slack) / 3.0);
+        desk.open("team/a", start);
+        std::vector<time_point> spent;
+        for (int tick = 0; tick < 1000; ++tick) {
+            const time_point now = start + milliseconds(10 * tick);
+            if (tick == 300 || tick == 500) {
+                desk.dropBanks([](const std::string &) { return false; });
+            }
+            desk.waitFor("team/a", [](token_reply) {});
+            desk.waitFor("team/a", [](token_reply) {});
+            for (const token_draw &draw : desk.draws(now)) {
+                desk.granted(*desk.serve(draw, now), now);
+            }
+            while (desk.trySpend("team/a", now)) {
+                spent.push_back(now);
+            }
+        }
+        for (std::size_t first = 0, last = 0; last < spent.size(); ++last) {
+            while (spent[first] + seconds(5) <= spent[last]) {
+                ++first;
+            }
+            CPPUNIT_ASSERT(static_cast<double>(last - first + 1) <= allowed);
+        }
+    }
+
     void overtakenBeatIsIgnored()
     {
         peer_book book("vm-0");
