Digests between data centres instead of heartbeats of every VM to every VM

Cause: a quarter of the bytes between data centres and about 160 datagrams a second at each VM of the grown fleet were heartbeats between data centres, which grow with its square; a cut data centre was noticed after 2 s, and until then requests waited for banks behind the cut. Change: VMs hear heartbeats of their own data centre; two of them tell each other data centre of all, in turn to two listeners, which pass it on. Keepers and leaving VMs still tell everybody themselves. A VM that knows nobody and is heard by a seed gets everything it knows. Silence counts after 1.3 s. The greeting of known addresses is a whole heartbeat: an empty one made neighbours of a reader read the store themselves until the next.

--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -28,6 +28,7 @@
     std::uint64_t keeperVersion = 0; ///< of its lease's row if it grants keys to targets, else 0
     bool leaving = false; ///< it is about to stop
     bool strong = true; ///< it has processor time to spare for duties of the whole fleet
+    bool alone = false; ///< it knows no other VM yet
     // For the VMs of its own data centre:
     std::map<std::string, int> inFlight; ///< its unanswered requests by target
     bool readsStore = false; ///< it reads the store for its data centre, and is answered
@@ -36,6 +37,29 @@
     std::vector<std::string> outDataCenters; ///< data centres that operators have taken out
 };
 
+/// One VM in a digest.
+struct peer_summary
+{
+    std::string name;
+    std::string dataCenter;
+    std::string ip;
+    std::int64_t incarnation = 0; ///< as in peer_beat
+    bool strong = true;
+    bool leaving = false;
+    bool keeps = false; ///< it grants keys to targets
+    std::int64_t ageMillis = 0; ///< since it was heard
+};
+
+/// The living VMs of a data centre, as one of them tells the other data centres.
+struct peer_digest
+{
+    std::string dataCenter; ///< of the teller
+    std::string ip; ///< of the teller
+    std::uint64_t configVersion = 0; ///< that the teller goes by
+    std::uint64_t mapVersion = 0; ///< of the map of owners that it goes by
+    std::vector<peer_summary> vms;
+};
+
 /// One VM as last heard of.
 struct peer_state
 {
@@ -47,6 +71,9 @@
 /// \class peer_book
 /// \brief Which VMs there are and which are alive. Without I/O; not thread-safe.
 ///
+/// VMs of one data centre hear each other's heartbeats. Of other data centres they hear digests,
+/// so that what passes between data centres grows with the fleet and not with its square.
+///
 /// \code
 /// peers.heard(beat, now);
 /// if (const std::string &bank = peers.placeOf("team/dojo", now); bank == self)
@@ -55,8 +82,8 @@
 class peer_book
 {
 public:
-    /// A VM silent for this long is passed over: three heartbeats between data centres.
-    static constexpr milliseconds aliveTime{2000};
+    /// A VM silent for this long is passed over: three digests of one teller.
+    static constexpr milliseconds aliveTime{1300};
     /// A VM silent for this long no longer counts as one that may still be acting somewhere:
     /// longer than any cut that its share of a limit must be kept back for.
     static constexpr milliseconds knownTime{20000};
@@ -86,6 +113,80 @@
         return fresh;
     }
 
+    /// Takes over what a digest says, as far as it is newer than what was heard.
+    void heard(const peer_digest &digest, time_point now)
+    {
+        for (const peer_summary &vm : digest.vms) {
+            const time_point heardAt = now - milliseconds(vm.ageMillis);
+            const auto known = m_peers.find(vm.name);
+            const bool older = known != m_peers.end()
+                && (vm.incarnation < known->second.beat.incarnation
+                    || heardAt <= known->second.heardAt);
+            if (vm.name == m_self || older) {
+                continue;
+            }
+            peer_state &peer = m_peers[vm.name];
+            if (peer.beat.incarnation != vm.incarnation) {
+                peer.beat = {};
+            }
+            peer.beat.name = vm.name;
+            peer.beat.dataCenter = vm.dataCenter;
+            peer.beat.ip = vm.ip;
+            peer.beat.incarnation = vm.incarnation;
+            peer.beat.strong = vm.strong;
+            peer.beat.leaving = vm.leaving;
+            if (!vm.keeps) {
+                peer.beat.keeperVersion = 0;
+            }
+            peer.heardAt = heardAt;
+            peer.hash = keyHash(vm.name);
+        }
+    }
+
+    /// \param self this VM's own heartbeat
+    /// \param everywhere whether VMs of other data centres are told of too, for a VM that knows none
+    /// \returns the digest to send.
+    peer_digest digest(const peer_beat &self, bool everywhere, time_point now) const
+    {
+        peer_digest result{self.dataCenter, self.ip, self.configVersion, self.mapVersion, {}};
+        result.vms.push_back(summaryOf(self, 0));
+        for (const auto &[name, peer] : m_peers) {
+            if (alive(peer, now) && (everywhere || peer.beat.dataCenter == self.dataCenter)) {
+                result.vms.push_back(summaryOf(peer.beat, toMillis(now - peer.heardAt)));
+            }
+        }
+        return result;
+    }
+
+    /// \returns the VM of data centre \a dc to tell in turn \a turn: the first two for \a duty there
+    /// alternate, so that the loss of one loses every second digest only. Where none is alive, all
+    /// that are known take turns. Null when none is known.
+    const peer_state *listener(std::string_view dc, std::string_view duty, std::size_t turn,
+                               time_point now) const
+    {
+        const std::uint64_t hash = keyHash(duty);
+        std::vector<std::pair<std::pair<bool, std::uint64_t>, const peer_state *>> living;
+        std::vector<const peer_state *> known;
+        for (const auto &[name, peer] : m_peers) {
+            if (peer.beat.dataCenter != dc) {
+                continue;
+            }
+            known.push_back(&peer);
+            if (alive(peer, now) && !peer.beat.leaving) {
+                living.push_back({{peer.beat.strong, combineHash(hash, peer.hash)}, &peer});
+            }
+        }
+        if (living.empty()) {
+            return known.empty() ? nullptr : known[turn % known.size()];
+        }
+        constexpr std::size_t listeners = 2;
+        const std::size_t count = std::min(listeners, living.size());
+        std::partial_sort(living.begin(), living.begin() + static_cast<std::ptrdiff_t>(count),
+                          living.end(),
+                          [](const auto &a, const auto &b) { return a.first > b.first; });
+        return living[turn % count].second;
+    }
+
     /// Forgets VMs that have been silent for long or have said that they leave.
     void expire(time_point now)
     {
@@ -137,7 +238,22 @@
 
     /// \returns how many living VMs come before this one for the duty named \a duty: strong ones
     /// first, then by rendezvous hashing. Bounded, so that in a large fleet nobody waits for long.
-    int rankFor(std::string_view duty, time_point now) const
+    int rankFor(std::string_view duty, time_point now) const { return rankAmong({}, duty, now); }
+
+    /// \returns how many living VMs of this one's data centre come before it for \a duty.
+    int rankWithin(std::string_view duty, time_point now) const
+    {
+        return rankAmong(m_dataCenter, duty, now);
+    }
+
+private:
+    static peer_summary summaryOf(const peer_beat &beat, std::int64_t ageMillis)
+    {
+        return {beat.name,    beat.dataCenter, beat.ip, beat.incarnation, beat.strong, beat.leaving,
+                beat.keeperVersion != 0, ageMillis};
+    }
+
+    int rankAmong(std::string_view dc, std::string_view duty, time_point now) const
     {
         constexpr int mostRank = 8;
         const std::uint64_t hash = keyHash(duty);
@@ -146,12 +262,12 @@
         for (const auto &[name, peer] : m_peers) {
             const bool before = peer.beat.strong != m_strong ? peer.beat.strong
                                                              : combineHash(hash, peer.hash) > own;
-            rank += before && alive(peer, now) && !peer.beat.leaving ? 1 : 0;
+            const bool counts = dc.empty() || peer.beat.dataCenter == dc;
+            rank += before && counts && alive(peer, now) && !peer.beat.leaving ? 1 : 0;
         }
         return std::min(rank, mostRank);
     }
 
-private:
     template <typename Counts>
     const std::string &bestPlace(std::string_view duty, bool withSelf, Counts counts) const
     {
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -8,10 +8,10 @@
 namespace damaskward {
 namespace {
 
-/// Heartbeats inside the data centre; every third goes to the others too, for bytes between data
-/// centres are dear.
+/// Heartbeats inside the data centre.
 constexpr milliseconds beatPause{200};
-constexpr int farBeatEvery = 3;
+/// Heartbeats to a digest for the other data centres: with two tellers each hears five a second.
+constexpr int digestEvery = 2;
 constexpr milliseconds keeperPause{50};
 constexpr milliseconds logPause{200};
 /// Readings of the registry: well inside the two seconds that a leaving target allows.
@@ -163,16 +163,22 @@
     after(beatPause, [this] { beatTick(); });
 }
 
-void node::sendBeats()
+std::uint64_t node::configVersion() const
+{
+    return m_router.config() ? m_router.config()->version : 0;
+}
+
+/// \returns what this VM says of itself to VMs of its data centre.
+peer_beat node::ownBeat(time_point now) const
 {
     peer_beat beat;
     beat.name = m_environment.name.str();
     beat.dataCenter = m_environment.dataCenter.str();
     beat.ip = m_environment.ip;
     beat.incarnation = m_incarnation;
-    beat.configVersion = m_router.config() ? m_router.config()->version : 0;
+    beat.configVersion = configVersion();
     beat.mapVersion = m_owners.version;
-    beat.keeperVersion = m_seat.keptVersion(mono_clock::now());
+    beat.keeperVersion = m_seat.keptVersion(now);
     beat.leaving = m_draining;
     beat.strong = m_peers.strong();
     for (const auto &[name, t] : m_targets.all()) {
@@ -180,33 +186,81 @@
             beat.inFlight[name] = t.inFlight;
         }
     }
-    const time_point now = mono_clock::now();
     beat.readsStore = readsWell(now);
     beat.registryVersion = m_relay.version();
     beat.operatorRevision = m_operatorRevision;
     for (const data_center_id &dc : m_out) {
         beat.outDataCenters.push_back(dc.str());
     }
+    return beat;
+}
+
+void node::sendBeats()
+{
+    const time_point now = mono_clock::now();
+    peer_beat beat = ownBeat(now);
     const std::string nearBytes = encodeMessage(beat);
+    // A keeper and a leaving VM tell everybody themselves: others act on it within a second.
+    const bool toAll = m_draining || beat.keeperVersion != 0;
     beat.readsStore = false;
     beat.outDataCenters.clear();
     beat.inFlight.clear(); // Out of date when it gets there.
+    beat.alone = m_peers.all().empty();
     const std::string farBytes = encodeMessage(beat);
-    const bool far = ++m_beatCount % farBeatEvery == 0 || m_draining || beat.keeperVersion != 0;
     std::set<std::string> sent{m_environment.ip};
     for (const auto &[name, peer] : m_peers.all()) {
         const bool near = peer.beat.dataCenter == beat.dataCenter;
-        if ((far || near) && sent.insert(peer.beat.ip).second) {
+        if ((toAll || near) && sent.insert(peer.beat.ip).second) {
             m_socket.sendBytes(peer.beat.ip, near ? nearBytes : farBytes);
         }
     }
-    if (m_peers.all().empty()) {
+    if (beat.alone) {
         for (const std::string &ip : m_environment.seedIps) {
             if (sent.insert(ip).second) {
                 m_socket.sendBytes(ip, farBytes);
             }
         }
     }
+    if (++m_beatCount % digestEvery == 0) {
+        sendDigests(beat, now);
+    }
+}
+
+/// Tells the other data centres of this one's VMs: two of its VMs do so, in case one is lost.
+void node::sendDigests(const peer_beat &self, time_point now)
+{
+    constexpr int tellers = 2;
+    const int rank = m_peers.rankWithin(readerDuty, now);
+    if (rank >= tellers) {
+        return;
+    }
+    const std::string bytes = encodeMessage(m_peers.digest(self, false, now));
+    const auto turn = static_cast<std::size_t>(m_beatCount / digestEvery + rank);
+    std::set<std::string_view> told{self.dataCenter};
+    for (const auto &[name, peer] : m_peers.all()) {
+        if (told.insert(peer.beat.dataCenter).second) {
+            const peer_state *to = m_peers.listener(peer.beat.dataCenter, readerDuty, turn, now);
+            m_socket.sendBytes(to->beat.ip, bytes);
+        }
+    }
+}
+
+/// A digest arrives at one VM of the data centre, which passes it on to the others.
+void node::heardDigest(const peer_digest &digest, const std::string &fromIp)
+{
+    const time_point now = mono_clock::now();
+    m_peers.heard(digest, now);
+    const bool direct = fromIp == digest.ip;
+    if (!direct || digest.dataCenter == m_environment.dataCenter.str()) {
+        return;
+    }
+    sendNear(digest);
+    if (digest.mapVersion > m_owners.version) {
+        m_socket.send(fromIp, owner_query{m_environment.name.str()});
+    }
+    if (digest.configVersion > configVersion()) {
+        fetchConfig(fromIp);
+    }
 }
 
 void node::sendNear(const peer_message &message)
@@ -257,6 +311,8 @@
         takeTokens(*grant, now);
     } else if (const auto *delta = std::get_if<registry_delta>(&message)) {
         followRegistry(*delta);
+    } else if (const auto *digest = std::get_if<peer_digest>(&message)) {
+        heardDigest(*digest, fromIp);
     }
 }
 
@@ -274,10 +330,13 @@
     if (beat.mapVersion > m_owners.version && (near || readsForOthers(now))) {
         m_socket.send(fromIp, owner_query{m_environment.name.str()});
     }
-    const std::uint64_t version = m_router.config() ? m_router.config()->version : 0;
-    if (beat.configVersion > version) {
+    if (beat.configVersion > configVersion()) {
         fetchConfig(fromIp);
     }
+    if (beat.alone) {
+        // It found this VM by its settings alone, and knows no VM of its own data centre.
+        m_socket.send(fromIp, m_peers.digest(ownBeat(now), true, now));
+    }
     followReader(beat, now);
 }
 
@@ -608,7 +667,7 @@
         }
         m_log.write(log_line("data center").add("name", dc.str()).add("out", !row.deleted));
     }
-    const std::uint64_t current = m_router.config() ? m_router.config()->version : 0;
+    const std::uint64_t current = configVersion();
     if (!news.config) {
         if (news.outDataCenter.empty()) {
             m_log.write(log_line("row skipped").add("row", row.name));
@@ -748,11 +807,8 @@
             for (const table_row &row : rows->rows) {
                 m_environment.seedIps.push_back(row.value);
             }
-            peer_beat hello;
-            hello.name = m_environment.name.str();
-            hello.dataCenter = m_environment.dataCenter.str();
-            hello.ip = m_environment.ip;
-            hello.incarnation = m_incarnation;
+            peer_beat hello = ownBeat(mono_clock::now());
+            hello.inFlight.clear();
             const std::string bytes = encodeMessage(hello);
             for (const std::string &ip : m_environment.seedIps) {
                 if (ip != m_environment.ip) {
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -49,7 +49,11 @@
 private:
     void begin();
     void beatTick();
+    std::uint64_t configVersion() const;
+    peer_beat ownBeat(time_point now) const;
     void sendBeats();
+    void sendDigests(const peer_beat &self, time_point now);
+    void heardDigest(const peer_digest &digest, const std::string &fromIp);
     void sumInFlight(time_point now);
     void sendNear(const peer_message &message);
     void keeperTick();
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace damaskward {
 namespace {
 
@@ -75,7 +77,17 @@
                 m.registryVersion,
                 m.operatorRevision,
                 m.outDataCenters,
-                m.strong};
+                m.strong,
+                m.alone};
+    }
+    json operator()(const peer_digest &m) const
+    {
+        json vms = json::array();
+        for (const peer_summary &vm : m.vms) {
+            vms.push_back({vm.name, vm.dataCenter, vm.ip, vm.incarnation, vm.strong, vm.leaving,
+                           vm.keeps, vm.ageMillis});
+        }
+        return {"c", m.dataCenter, m.ip, m.configVersion, m.mapVersion, std::move(vms)};
     }
     json operator()(const registry_delta &m) const
     {
@@ -145,6 +157,29 @@
     m.operatorRevision = a.at(12);
     m.outDataCenters = a.at(13).get<std::vector<std::string>>();
     m.strong = a.at(14);
+    m.alone = a.at(15);
+    return m;
+}
+
+peer_digest decodeDigest(const json &a)
+{
+    peer_digest m;
+    m.dataCenter = a.at(1);
+    m.ip = a.at(2);
+    m.configVersion = a.at(3);
+    m.mapVersion = a.at(4);
+    for (const json &item : a.at(5)) {
+        peer_summary vm;
+        vm.name = item.at(0);
+        vm.dataCenter = item.at(1);
+        vm.ip = item.at(2);
+        vm.incarnation = item.at(3);
+        vm.strong = item.at(4);
+        vm.leaving = item.at(5);
+        vm.keeps = item.at(6);
+        vm.ageMillis = std::max<std::int64_t>(0, item.at(7).get<std::int64_t>());
+        m.vms.push_back(std::move(vm));
+    }
     return m;
 }
 
@@ -221,6 +256,9 @@
     if (type == "d") {
         return decodeDraw(a);
     }
+    if (type == "c") {
+        return decodeDigest(a);
+    }
     if (type == "r") {
         return decodeRegistry(a);
     }
--- a/src/Node/peer_message.h
+++ b/src/Node/peer_message.h
@@ -41,7 +41,7 @@
 };
 
 using peer_message = std::variant<peer_beat, owner_update, owner_query, key_demand, peer_draw,
-                                  token_grant, registry_delta>;
+                                  token_grant, registry_delta, peer_digest>;
 
 /// \returns \a message as a datagram.
 std::string encodeMessage(const peer_message &message);
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -11,6 +11,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <random>
+#include <set>
 
 namespace damaskward {
 namespace testing {
@@ -47,6 +48,9 @@
     CPPUNIT_TEST(dutiesMoveWithTheLiving);
     CPPUNIT_TEST(strongVmsComeFirst);
     CPPUNIT_TEST(cutPartsShareALimit);
+    CPPUNIT_TEST(digestsKeepFarVmsAlive);
+    CPPUNIT_TEST(olderDigestTakesNothingBack);
+    CPPUNIT_TEST(lostListenerLosesEverySecondDigest);
     CPPUNIT_TEST(requestsBehindADrawAreNotDenied);
     CPPUNIT_TEST(closedBankDeniesNobody);
     CPPUNIT_TEST(movedBankStaysInsideTheTolerance);
@@ -280,6 +284,80 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, sum, 1e-9);
     }
 
+    static peer_beat beatIn(const std::string &dc, int number)
+    {
+        peer_beat beat = beatOf("vm-" + dc + std::to_string(number));
+        beat.dataCenter = dc;
+        beat.ip = dc + std::to_string(number);
+        return beat;
+    }
+
+    // A data centre that is cut off: its VMs count as dead when its digests stop, and as alive again
+    // with the first one.
+    void digestsKeepFarVmsAlive()
+    {
+        peer_book teller("vm-a0", "a");
+        peer_book listener("vm-b0", "b");
+        const auto aliveFar = [&listener](time_point now) {
+            int alive = 0;
+            for (const auto &[name, peer] : listener.all()) {
+                alive += peer.beat.dataCenter == "a" && peer_book::alive(peer, now) ? 1 : 0;
+            }
+            return alive;
+        };
+        time_point now = start;
+        for (int i = 0; i < 20; ++i, now += milliseconds(400)) {
+            teller.heard(beatIn("a", 1), now - milliseconds(100));
+            teller.heard(beatIn("c", 1), now);
+            listener.heard(teller.digest(beatIn("a", 0), false, now), now);
+            CPPUNIT_ASSERT_EQUAL(2, aliveFar(now));
+        }
+        CPPUNIT_ASSERT(listener.all().count("vm-c1") == 0); // Told by its own data centre.
+        CPPUNIT_ASSERT_EQUAL(0, aliveFar(now + peer_book::aliveTime));
+        listener.heard(teller.digest(beatIn("a", 0), false, now + seconds(5)), now + seconds(5));
+        CPPUNIT_ASSERT_EQUAL(1, aliveFar(now + seconds(5)));
+        listener.heard(teller.digest(beatIn("a", 0), true, now), now + seconds(6));
+        CPPUNIT_ASSERT(listener.all().count("vm-c1") == 1);
+    }
+
+    void olderDigestTakesNothingBack()
+    {
+        peer_book teller("vm-a0", "a");
+        teller.heard(beatIn("a", 1), start);
+        const peer_digest before = teller.digest(beatIn("a", 0), false, start + milliseconds(50));
+        peer_book listener("vm-b0", "b");
+        peer_beat keeper = beatIn("a", 1);
+        keeper.keeperVersion = 7;
+        keeper.leaving = true;
+        listener.heard(keeper, start + milliseconds(40));
+        listener.heard(before, start + milliseconds(60));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, listener.all().at("vm-a1").beat.keeperVersion);
+        CPPUNIT_ASSERT(listener.all().at("vm-a1").beat.leaving);
+        // A later one that says it keeps no longer is taken.
+        teller.heard(beatIn("a", 1), start + seconds(1));
+        listener.heard(teller.digest(beatIn("a", 0), false, start + seconds(1)), start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, listener.all().at("vm-a1").beat.keeperVersion);
+    }
+
+    void lostListenerLosesEverySecondDigest()
+    {
+        peer_book book("vm-a0", "a");
+        for (int i = 0; i < 5; ++i) {
+            book.heard(beatIn("b", i), start);
+        }
+        const peer_state *first = book.listener("b", "reader", 0, start);
+        const peer_state *second = book.listener("b", "reader", 1, start);
+        CPPUNIT_ASSERT(first != second);
+        CPPUNIT_ASSERT(first == book.listener("b", "reader", 2, start));
+        CPPUNIT_ASSERT(book.listener("c", "reader", 0, start) == nullptr);
+        // Cut off: all that are known are tried in turn, so that the first to return is found.
+        std::set<const peer_state *> tried;
+        for (std::size_t turn = 0; turn < 5; ++turn) {
+            tried.insert(book.listener("b", "reader", turn, start + seconds(3)));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, tried.size());
+    }
+
     /// One VM that is its own bank, with a limit of 20 a second.
     static token_desk deskOf(double startTokens)
     {
