Owners that are asked for more than they get done are limited by the keeper

Cause: a target's queue is served in order. Change: VMs report the queues that answers tell of with the demand for keys; the keeper, which sees the requests for all keys, works out what share each owner can take with half of the objective spent in its queue, and tells all VMs five times a second; the rest is refused at once. The shares lapse after 0.7 s. The fourth figure of a target's load (work at present against the usual) is decoded and weighs in the choice among targets. Ruled out in a model of 98 targets and 65 VMs: sharing load reports inside the data centre (mean 451 to 440 ms at 0.7 of capacity). Test overloadedOwnerAnswersInTime, ten times the capacity: in time 146 to 462, late 436 to 98 a minute.

--- a/src/Fleet/deployment.cpp
+++ b/src/Fleet/deployment.cpp
@@ -17,6 +17,21 @@
     }
 }
 
+milliseconds deployment::objectiveOf(const service_id &service) const
+{
+    milliseconds shortest = milliseconds::max();
+    for (const route &r : routes) {
+        const bool goesThere =
+            std::any_of(r.parts.begin(), r.parts.end(),
+                        [&](const route_part &part) { return part.service == service; });
+        if (goesThere && r.objective.count() > 0) {
+            shortest = std::min(shortest, r.objective);
+        }
+    }
+    constexpr milliseconds usualObjective{1000}; // Where no route states one.
+    return shortest == milliseconds::max() ? usualObjective : shortest;
+}
+
 const route *deployment::findRoute(std::string_view host, std::string_view path) const
 {
     const auto it = m_byHost.find(host);
--- a/src/Fleet/deployment.h
+++ b/src/Fleet/deployment.h
@@ -99,6 +99,9 @@
     /// \returns the route of \a host with the longest prefix of \a path, or null.
     const route *findRoute(std::string_view host, std::string_view path) const;
 
+    /// \returns the shortest objective of the routes to \a service.
+    milliseconds objectiveOf(const service_id &service) const;
+
     /// \returns the settings of \a service, or null.
     const service_settings *service(const service_id &service) const
     {
--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -19,6 +19,8 @@
 constexpr double workBlend = 0.1;
 /// The time after which a load report says nothing more: about twice the mean work.
 constexpr double reportAgeMillis = 300.0;
+/// The time after which a target's slowdown says nothing more: it changes many times a second.
+constexpr double slowdownAgeMillis = 400.0;
 /// Assumed answer time of a target that has not answered yet.
 constexpr double unknownWorkMillis = 150.0;
 /// A cross-data-centre answer must be expected this much sooner to be worth its bytes: a tenth of
@@ -155,6 +157,15 @@
         && now >= t.refusingUntil;
 }
 
+double target_book::slowdownNow(const target_state &t, time_point now)
+{
+    const double age = static_cast<double>(toMillis(now - t.loadAt));
+    if (t.loadAt == time_point{} || age >= slowdownAgeMillis) {
+        return 1.0;
+    }
+    return 1.0 + (t.load.slowdown - 1.0) * (1.0 - age / slowdownAgeMillis);
+}
+
 double target_book::expectedLoad(const target_state &t, time_point now)
 {
     const double own = t.inFlight + t.inFlightElsewhere;
@@ -182,7 +193,7 @@
         const double load = expectedLoad(t, now);
         const double queued = std::max(0.0, load + 1.0 - t.record.slots) / t.record.slots;
         constexpr double busyShare = 0.1; // A nearly full target is a little slower.
-        double score = work * (1.0 + queued + busyShare * load / t.record.slots);
+        double score = work * slowdownNow(t, now) * (1.0 + queued + busyShare * load / t.record.slots);
         if (t.record.dataCenter != m_self) {
             score += preferNear ? farDownloadPenaltyMillis : farPenaltyMillis;
         }
--- a/src/Fleet/target_book.h
+++ b/src/Fleet/target_book.h
@@ -36,6 +36,7 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    double slowdown = 1.0; ///< how long work takes there at present, 1 for as usual
 };
 
 /// One target with all that this VM has seen of it.
@@ -121,6 +122,8 @@
     /// \a t says itself how long it stays cold.
     static void warming(target_state &t, milliseconds left, time_point now);
 
+    /// \returns how much longer than usual work takes at \a t now: its own word, fading with age.
+    static double slowdownNow(const target_state &t, time_point now);
     /// \returns requests expected to be at \a t.
     static double expectedLoad(const target_state &t, time_point now);
 
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -11,6 +11,8 @@
 constexpr const char *keeperDuty = "keeper";
 /// Between two publications: changes of hands come in bursts, and each update holds all owners.
 constexpr milliseconds publishPause{100};
+/// Between two updates on overloaded owners: as often as VMs report demand.
+constexpr milliseconds limitPause{200};
 /// Updates of later holders are above those of earlier ones.
 constexpr unsigned epochShift = 32;
 
@@ -29,7 +31,8 @@
 keeper_seat::keeper_seat(store_port &store, std::string table, order_sender send,
                          target_book &targets, peer_book &peers, request_log &log,
                          std::int64_t incarnation, clock_source clock,
-                         std::function<void(const owner_update &)> publish)
+                         std::function<void(const owner_update &)> publish,
+                         std::function<void(const owner_shares &)> limit)
     : m_store(store)
     , m_table(std::move(table))
     , m_send(std::move(send))
@@ -39,6 +42,7 @@
     , m_incarnation(incarnation)
     , m_clock(std::move(clock))
     , m_publish(std::move(publish))
+    , m_limit(std::move(limit))
     , m_lease(lease_timing{})
 { }
 
@@ -47,7 +51,7 @@
     m_keyed.clear();
     for (const auto &[name, settings] : config.services) {
         if (settings.keyed) {
-            m_keyed[name] = 1;
+            m_keyed[name] = config.objectiveOf(name);
         }
     }
 }
@@ -192,7 +196,7 @@
 
 void keeper_seat::runKeepers(time_point now)
 {
-    for (const auto &[service, one] : m_keyed) {
+    for (const auto &[service, objective] : m_keyed) {
         auto &keeper = m_keepers[service];
         if (!keeper) {
             keeper = std::make_shared<range_keeper>(timingFor(service), m_row.owners[service], true,
@@ -214,6 +218,40 @@
         }
     }
     publishIfChanged(now);
+    limitOverloaded(now);
+}
+
+owner_capacity keeper_seat::capacityOf(const std::string &target) const
+{
+    const target_state *t = m_targets.find(target);
+    const auto service = t ? m_keyed.find(t->record.service) : m_keyed.end();
+    if (service == m_keyed.end()) {
+        return {};
+    }
+    // Half of the objective may pass in the queue: work takes as long at times.
+    constexpr double queueShare = 0.5;
+    const double objective = std::chrono::duration<double>(service->second).count();
+    const double perSecond = t->record.slots * m_work.rateOf(target);
+    return {perSecond, std::max(1.0, perSecond * objective * queueShare)};
+}
+
+/// Tells all VMs which owners are asked for more than they get done.
+void keeper_seat::limitOverloaded(time_point now)
+{
+    if (now < m_limitAt) {
+        return;
+    }
+    m_limitAt = now + limitPause;
+    owner_shares update;
+    update.shares =
+        m_admission.shares([this](const std::string &target) { return capacityOf(target); }, now);
+    if (update.shares.empty() && !m_limiting) {
+        return;
+    }
+    m_limiting = !update.shares.empty();
+    m_limitVersion = std::max(m_limitVersion + 1, m_row.epoch << epochShift);
+    update.version = m_limitVersion;
+    m_limit(update);
 }
 
 void keeper_seat::sendOrder(const range_order &order, const std::shared_ptr<range_keeper> &keeper)
@@ -429,6 +467,9 @@
     for (const auto &[target, sample] : demand.work) {
         m_work.add(target, sample);
     }
+    for (const auto &[target, waiting] : demand.waiting) {
+        m_admission.reported(target, waiting, now);
+    }
     for (const auto &[service, list] : demand.keys) {
         const auto it = m_keepers.find(service);
         if (it == m_keepers.end() || !it->second) {
@@ -436,6 +477,9 @@
         }
         for (const shard_key key : list) {
             it->second->asked(key, now);
+            if (const auto owner = it->second->ownerOf(key); !owner.empty()) {
+                m_admission.asked(std::string(owner), now);
+            }
         }
     }
 }
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -8,6 +8,7 @@
 #include "../Fleet/target_book.h"
 #include "../Proxy/request_log.h"
 #include "../Ranges/keeper_lease.h"
+#include "../Ranges/owner_admission.h"
 #include "../Ranges/range_keeper.h"
 #include "../Ranges/work_times.h"
 #include "peer_message.h"
@@ -42,9 +43,11 @@
 
     /// \param table the table of the product's own rows
     /// \param publish called with the owners whenever they change
+    /// \param limit called a few times a second while owners are asked for more than they get done
     keeper_seat(store_port &store, std::string table, order_sender send, target_book &targets,
                 peer_book &peers, request_log &log, std::int64_t incarnation, clock_source clock,
-                std::function<void(const owner_update &)> publish);
+                std::function<void(const owner_update &)> publish,
+                std::function<void(const owner_shares &)> limit);
 
     /// Takes over which services are divided by key.
     void setDeployment(const deployment &config);
@@ -89,6 +92,8 @@
     void compareRow(time_point sentAt);
     void drop(const char *reason);
     void publishIfChanged(time_point now);
+    owner_capacity capacityOf(const std::string &target) const;
+    void limitOverloaded(time_point now);
 
     store_port &m_store;
     std::string m_table;
@@ -99,9 +104,10 @@
     std::int64_t m_incarnation;
     clock_source m_clock;
     std::function<void(const owner_update &)> m_publish;
+    std::function<void(const owner_shares &)> m_limit;
 
     keeper_lease m_lease;
-    std::map<service_id, int> m_keyed; ///< services divided by key
+    std::map<service_id, milliseconds> m_keyed; ///< services divided by key, with their objectives
     seat_row m_row; ///< as last read
     std::string m_writing; ///< the text under way, empty when none is
     time_point m_firstSentAt{}; ///< when that text was first sent
@@ -109,6 +115,10 @@
     std::map<service_id, std::shared_ptr<range_keeper>> m_keepers; ///< empty while not keeping
     std::map<service_id, std::uint64_t> m_published; ///< revisions
     work_times m_work;
+    owner_admission m_admission;
+    time_point m_limitAt{};
+    bool m_limiting = false; ///< some owners are limited
+    std::uint64_t m_limitVersion = 0;
     std::map<std::string, std::uint64_t> m_loggedFences; ///< the highest by target
     std::map<std::string, std::string, std::less<>> m_addresses; ///< of targets, also gone ones
     std::uint64_t m_updateVersion = 0;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -95,7 +95,8 @@
           [this](const range_order &order, const std::string &address,
                  keeper_seat::order_callback done) { sendOrder(order, address, std::move(done)); },
           m_targets, m_peers, m_log, m_incarnation, [] { return mono_clock::now(); },
-          [this](const owner_update &update) { publishOwners(update); })
+          [this](const owner_update &update) { publishOwners(update); },
+          [this](const owner_shares &shares) { publishShares(shares); })
     , m_socket(loop, m_environment.ip, m_environment.peerPort,
                [this](peer_message &&message, const std::string &ip) {
                    received(std::move(message), ip);
@@ -313,6 +314,12 @@
         followRegistry(*delta);
     } else if (const auto *digest = std::get_if<peer_digest>(&message)) {
         heardDigest(*digest, fromIp);
+    } else if (const auto *shares = std::get_if<owner_shares>(&message)) {
+        const bool fresh = shares->version > m_sharesVersion;
+        takeShares(*shares, now);
+        if (fresh && readsForOthers(now)) {
+            sendNear(*shares);
+        }
     }
 }
 
@@ -368,20 +375,41 @@
 void node::publishOwners(const owner_update &update)
 {
     takeOwners(update);
+    sendToAll(m_ownersBytes);
+}
+
+void node::takeShares(const owner_shares &shares, time_point now)
+{
+    if (shares.version > m_sharesVersion) {
+        m_sharesVersion = shares.version;
+        // Three updates of the keeper: without word from it, owners are left to turn requests away.
+        constexpr milliseconds sharesLife{700};
+        m_router.setOwnerShares(shares.shares, now + sharesLife);
+    }
+}
+
+void node::publishShares(const owner_shares &shares)
+{
+    takeShares(shares, mono_clock::now());
+    sendToAll(encodeMessage(shares));
+}
+
+/// Sends to all VMs near, and to one of each other data centre, which passes it on.
+void node::sendToAll(const std::string &bytes)
+{
     const time_point now = mono_clock::now();
     std::set<std::string> farCenters;
     for (const auto &[name, peer] : m_peers.all()) {
         if (peer.beat.dataCenter == m_environment.dataCenter.str()) {
-            m_socket.sendBytes(peer.beat.ip, m_ownersBytes);
+            m_socket.sendBytes(peer.beat.ip, bytes);
         } else {
             farCenters.insert(peer.beat.dataCenter);
         }
     }
-    // One VM of each other data centre passes the update on there.
     for (const std::string &dc : farCenters) {
         const auto reader = m_peers.all().find(m_peers.placeWithin(dc, readerDuty, now));
         if (reader != m_peers.all().end()) {
-            m_socket.sendBytes(reader->second.beat.ip, m_ownersBytes);
+            m_socket.sendBytes(reader->second.beat.ip, bytes);
         }
     }
 }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -82,6 +82,9 @@
     void heard(const peer_beat &beat, const std::string &fromIp);
     void takeOwners(const owner_update &update);
     void publishOwners(const owner_update &update);
+    void takeShares(const owner_shares &shares, time_point now);
+    void publishShares(const owner_shares &shares);
+    void sendToAll(const std::string &bytes);
     void sendDraws();
     void takeTokens(const token_grant &grant, time_point now);
     void sendDemand(time_point now);
@@ -132,6 +135,7 @@
     time_point m_targetsGoodAt{}; ///< the last reading of the registry by this VM itself
     time_point m_operatorsGoodAt{}; ///< the same of the operators' rows
     owner_update m_owners;
+    std::uint64_t m_sharesVersion = 0;
     std::string m_ownersBytes;
     int m_beatCount = 0;
     time_point m_drawsRepeatAt{}; ///< when unanswered draws are looked for again
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -117,8 +117,9 @@
         for (const auto &[target, sample] : m.work) {
             work[target] = {sample.count, sample.millis};
         }
-        return {"y", std::move(services), std::move(work)};
+        return {"y", std::move(services), std::move(work), m.waiting};
     }
+    json operator()(const owner_shares &m) const { return {"s", m.version, m.shares}; }
     json operator()(const peer_draw &m) const
     {
         return {"d",
@@ -225,6 +226,7 @@
     for (const auto &[target, sample] : a.at(2).items()) {
         m.work[target] = {sample.at(0), sample.at(1)};
     }
+    m.waiting = a.at(3).get<std::map<std::string, int>>();
     return m;
 }
 
@@ -256,6 +258,9 @@
     if (type == "d") {
         return decodeDraw(a);
     }
+    if (type == "s") {
+        return owner_shares{a.at(1), a.at(2).get<std::map<std::string, double>>()};
+    }
     if (type == "c") {
         return decodeDigest(a);
     }
--- a/src/Node/peer_message.h
+++ b/src/Node/peer_message.h
@@ -27,6 +27,13 @@
     std::map<service_id, range_map> maps;
 };
 
+/// Owners that are asked for more than they get done.
+struct owner_shares
+{
+    std::uint64_t version = 0; ///< as in owner_update, but counted apart
+    std::map<std::string, double> shares; ///< of the requests that a target can take; others take all
+};
+
 /// "Send me your owner_update."
 struct owner_query
 {
@@ -41,7 +48,8 @@
 };
 
 using peer_message = std::variant<peer_beat, owner_update, owner_query, key_demand, peer_draw,
-                                  token_grant, registry_delta, peer_digest>;
+                                  token_grant, registry_delta, peer_digest,
+                                  owner_shares>;
 
 /// \returns \a message as a datagram.
 std::string encodeMessage(const peer_message &message);
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -104,7 +104,7 @@
             giveUp("no time left");
             return;
         }
-        if (!payToken(now)) {
+        if (!admitted(now) || !payToken(now)) {
             return;
         }
         if (m_key) {
@@ -200,6 +200,23 @@
         return true;
     }
 
+    /// \returns false when the key's owner cannot take the request in time and it was refused.
+    bool admitted(time_point now)
+    {
+        if (!m_key || m_admitted) {
+            return true;
+        }
+        const auto map = m_router.m_owners.find(m_service);
+        const range_owner *owner =
+            map == m_router.m_owners.end() ? nullptr : map->second.find(*m_key);
+        m_admitted = !owner || m_router.admits(owner->target, now);
+        if (!m_admitted) {
+            // Its queue is kept short enough to drain in half of the objective.
+            refuse(503, "owner is overloaded", std::max(usualRetryAfter, m_route->objective / 2));
+        }
+        return m_admitted;
+    }
+
     /// Pays for the team's limit once. \returns false when the request waits or was refused.
     bool payToken(time_point now)
     {
@@ -449,6 +466,9 @@
         const header_names &names = m_router.m_names;
         if (const auto load = names.decodeLoad(fieldOf(answer, names.load))) {
             target_book::reported(target, *load, now);
+            if (m_key && load->waiting > 0) {
+                m_router.m_demand.waiting[m_target] = load->waiting;
+            }
         }
         const auto warmup = fieldOf(answer, names.warmupLeft);
         if (isDigits(warmup)) {
@@ -742,6 +762,7 @@
     std::optional<http_answer> m_fallback; ///< a target's failure, if no other answer comes
     int m_runs = 0; ///< sends that were run or may have been
     int m_turnedAway = 0;
+    bool m_admitted = false; ///< the owner of its key can take it
     bool m_paid = false;
     bool m_tokenDenied = false;
     bool m_sending = false;
@@ -786,6 +807,36 @@
     wakeParked();
 }
 
+void request_router::setOwnerShares(const std::map<std::string, double> &shares, time_point until)
+{
+    for (auto it = m_gates.begin(); it != m_gates.end();) {
+        it = shares.count(it->first) == 0 ? m_gates.erase(it) : std::next(it);
+    }
+    for (const auto &[owner, share] : shares) {
+        // A new gate opens at a random point, so that not all VMs let the first requests through.
+        const auto [it, added] = m_gates.try_emplace(owner);
+        it->second.share = share;
+        if (added) {
+            it->second.credit = static_cast<double>(std::rand()) / RAND_MAX;
+        }
+    }
+    m_gatesUntil = until;
+}
+
+bool request_router::admits(const std::string &owner, time_point now)
+{
+    const auto it = now < m_gatesUntil ? m_gates.find(owner) : m_gates.end();
+    if (it == m_gates.end()) {
+        return true;
+    }
+    it->second.credit += it->second.share;
+    if (it->second.credit < 1.0) {
+        return false;
+    }
+    it->second.credit -= 1.0;
+    return true;
+}
+
 void request_router::addParked(std::weak_ptr<internal::request_flow> flow)
 {
     constexpr std::size_t pruneAbove = 512;
--- a/src/Proxy/request_router.h
+++ b/src/Proxy/request_router.h
@@ -56,6 +56,9 @@
     const std::shared_ptr<const deployment> &config() const { return m_config; }
     /// Takes over the owners of a service's keys.
     void setOwners(const service_id &service, range_map owners);
+    /// Takes over what share of its requests each overloaded owner can take.
+    /// \param until when the shares lapse, if no newer ones arrive
+    void setOwnerShares(const std::map<std::string, double> &shares, time_point until);
     /// The configuration may be out of date: unknown routes and keys are refused for a while
     /// instead of denied.
     void setStale(bool stale) { m_stale = stale; }
@@ -75,6 +78,7 @@
     using flow_ptr = std::shared_ptr<internal::request_flow>;
 
     retry_budget &budgetOf(const service_id &service);
+    bool admits(const std::string &owner, time_point now);
     void addParked(std::weak_ptr<internal::request_flow> flow);
     void wakeParked();
 
@@ -87,7 +91,16 @@
     metrics &m_metrics;
     std::function<void()> m_drawNow;
     std::shared_ptr<const deployment> m_config;
+    /// A share of requests is let through evenly: each adds the share, and one passes at each whole.
+    struct owner_gate
+    {
+        double share = 1.0;
+        double credit = 0.0;
+    };
+
     std::map<service_id, range_map> m_owners;
+    std::map<std::string, owner_gate, std::less<>> m_gates; ///< of overloaded owners
+    time_point m_gatesUntil{};
     part_picker m_picker;
     std::map<service_id, std::unique_ptr<retry_budget>> m_budgets;
     double m_retryShare = 0.0;
--- a/src/Ranges/key_demand.h
+++ b/src/Ranges/key_demand.h
@@ -25,8 +25,9 @@
 {
     std::map<service_id, std::vector<shard_key>> keys; ///< asked for, with repetitions
     std::map<std::string, work_sample> work; ///< by target
+    std::map<std::string, int> waiting; ///< by target, as its newest answer said, if any wait
 
-    bool empty() const { return keys.empty() && work.empty(); }
+    bool empty() const { return keys.empty() && work.empty() && waiting.empty(); }
 };
 
 } // namespace damaskward
--- a/src/Ranges/range_keeper.cpp
+++ b/src/Ranges/range_keeper.cpp
@@ -62,6 +62,18 @@
     return hold + hold * slowClockPercent / 100 + m_timing.travel;
 }
 
+std::string_view range_keeper::ownerOf(shard_key key) const
+{
+    const auto it =
+        std::upper_bound(m_pieces.begin(), m_pieces.end(), key,
+                         [](shard_key k, const piece &p) { return k < p.owner.keys.first; });
+    if (it == m_pieces.begin() || !std::prev(it)->owner.keys.contains(key)
+        || std::prev(it)->state != phase::Held) {
+        return {};
+    }
+    return std::prev(it)->owner.target;
+}
+
 std::vector<range_order> range_keeper::step(const owner_views &views, time_point leaseEnd,
                                             time_point now)
 {
--- a/src/Ranges/range_keeper.h
+++ b/src/Ranges/range_keeper.h
@@ -100,6 +100,9 @@
     /// Notes requests, for the plan.
     void asked(shard_key key, time_point now) { m_load.add(key, now); }
 
+    /// \returns the target that owns \a key, or empty while it changes hands.
+    std::string_view ownerOf(shard_key key) const;
+
     /// Moves on. \param leaseEnd this VM acts as the keeper before this point only
     /// \returns the orders to send now
     std::vector<range_order> step(const owner_views &views, time_point leaseEnd, time_point now);
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -173,6 +173,10 @@
     {
         CPPUNIT_ASSERT_EQUAL(3, decodeLoad("3,1,8")->running);
         CPPUNIT_ASSERT_EQUAL(8, decodeLoad("3,1,8,150")->slots);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, decodeLoad("3,1,8,150")->slowdown, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, decodeLoad("3,1,8")->slowdown, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, decodeLoad("3,1,8,x")->slowdown, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, decodeLoad("3,1,8,-7")->slowdown, 1e-9);
         CPPUNIT_ASSERT(!decodeLoad("3,1"));
         CPPUNIT_ASSERT(!decodeLoad(""));
     }
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -1,5 +1,6 @@
 // Ranges of keys: one owner at a time under seeded faults, and where hot keys go.
 
+#include "src/Ranges/owner_admission.h"
 #include "src/Ranges/range_keeper.h"
 #include "src/Ranges/range_planner.h"
 #include "support/range_world.h"
@@ -7,7 +8,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdlib>
+#include <deque>
 #include <iostream>
+#include <random>
 
 namespace damaskward {
 namespace testing {
@@ -35,6 +38,9 @@
     CPPUNIT_TEST(silentTargetGetsNoKeys);
     CPPUNIT_TEST(newTargetGetsKeys);
     CPPUNIT_TEST(evenLoadStaysWhereItIs);
+    CPPUNIT_TEST(overloadedOwnerAnswersInTime);
+    CPPUNIT_TEST(ownerBelowItsCapacityIsNotLimited);
+    CPPUNIT_TEST(limitEndsWithTheOverload);
     CPPUNIT_TEST(silentOwnerIsWaitedFor);
     CPPUNIT_TEST(doubtfulGrantDelaysTheNextOwner);
     CPPUNIT_TEST(gapsInTheRecordAreFilled);
@@ -317,6 +323,111 @@
     }
 
     /// A silent owner's keys are recorded for another only when its last grant has run out.
+    /// A target that owns a hot key: two slots, a queue of eight, 200 ms of work on average.
+    struct hot_owner
+    {
+        int inTime = 0;
+        int late = 0;
+        int turnedAway = 0; ///< by the target, as its queue was full
+        int refused = 0; ///< by the share
+
+        /// Plays a minute of \a rate requests a second; VMs report and learn every 200 ms.
+        void play(double rate, bool limited)
+        {
+            constexpr double workMillis = 200.0;
+            constexpr std::size_t mostWaiting = 8;
+            const owner_capacity capacity{2.0 * 1000.0 / workMillis, 4.0};
+            std::mt19937 random(7);
+            std::exponential_distribution<double> gap(rate / 1000.0);
+            std::exponential_distribution<double> work(1.0 / workMillis);
+            owner_admission admission;
+            std::deque<double> waiting;
+            double freeAt[2] = {0.0, 0.0};
+            double share = 1.0;
+            double credit = 0.0;
+            double reportAt = 0.0;
+            int demand = 0;
+            int reported = 0;
+            for (double now = gap(random); now < 60000.0; now += gap(random)) {
+                const auto at = start + microseconds(static_cast<std::int64_t>(now * 1000.0));
+                double *slot = freeAt[0] < freeAt[1] ? &freeAt[0] : &freeAt[1];
+                while (!waiting.empty() && *slot <= now) {
+                    run(waiting.front(), *slot, work(random));
+                    waiting.pop_front();
+                    slot = freeAt[0] < freeAt[1] ? &freeAt[0] : &freeAt[1];
+                }
+                if (now >= reportAt) {
+                    for (; demand > 0; --demand) {
+                        admission.asked("t", at);
+                    }
+                    admission.reported("t", reported, at);
+                    const auto shares =
+                        admission.shares([&](const std::string &) { return capacity; }, at);
+                    share = shares.count("t") != 0 ? shares.at("t") : 1.0;
+                    reportAt = now + 200.0;
+                }
+                ++demand;
+                credit += limited ? share : 1.0;
+                if (credit < 1.0) {
+                    ++refused;
+                    continue;
+                }
+                credit -= 1.0;
+                if (*slot <= now) {
+                    *slot = now;
+                    run(now, *slot, work(random));
+                } else if (waiting.size() < mostWaiting) {
+                    waiting.push_back(now);
+                } else {
+                    ++turnedAway;
+                }
+                reported = static_cast<int>(waiting.size());
+            }
+        }
+
+        void run(double arrivedAt, double &slot, double work)
+        {
+            constexpr double objective = 800.0;
+            slot = std::max(slot, arrivedAt) + work;
+            ++(slot - arrivedAt <= objective ? inTime : late);
+        }
+    };
+
+    // One hot key at ten times what its owner gets done. Without shares the queue is always full.
+    void overloadedOwnerAnswersInTime()
+    {
+        hot_owner naive;
+        naive.play(100.0, false);
+        hot_owner limited;
+        limited.play(100.0, true);
+        CPPUNIT_ASSERT(naive.late > naive.inTime / 2);
+        CPPUNIT_ASSERT(limited.inTime > naive.inTime * 5 / 4);
+        CPPUNIT_ASSERT(limited.late < naive.late / 2);
+        CPPUNIT_ASSERT(limited.turnedAway < naive.turnedAway / 3);
+        // It still works nearly all the time.
+        CPPUNIT_ASSERT((limited.inTime + limited.late) * 10 >= (naive.inTime + naive.late) * 9);
+    }
+
+    void ownerBelowItsCapacityIsNotLimited()
+    {
+        hot_owner owner;
+        owner.play(5.0, true);
+        CPPUNIT_ASSERT_EQUAL(0, owner.refused);
+    }
+
+    void limitEndsWithTheOverload()
+    {
+        owner_admission admission;
+        const auto capacity = [](const std::string &) { return owner_capacity{10.0, 4.0}; };
+        for (int i = 0; i < 100; ++i) {
+            admission.asked("t", start);
+        }
+        CPPUNIT_ASSERT(admission.shares(capacity, start).at("t") < 0.2);
+        CPPUNIT_ASSERT(admission.shares(capacity, start + seconds(3)).empty());
+        CPPUNIT_ASSERT(admission.shares([](const std::string &) { return owner_capacity{}; }, start)
+                           .empty()); // Nothing is known of it.
+    }
+
     void silentOwnerIsWaitedFor()
     {
         keeper_timing timing;
