Data centres tell each other how loaded their targets are; earlier returns for refused callers

Callers refused by an overloaded owner came back after half of the objective and were then answered late. Change: digests carry requests per slot by service; a far target counts as at least that loaded. Retry-After of an overloaded or full owner is a quarter of the objective, at most 250 ms.

--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -58,6 +58,7 @@
     std::uint64_t configVersion = 0; ///< that the teller goes by
     std::uint64_t mapVersion = 0; ///< of the map of owners that it goes by
     std::vector<peer_summary> vms;
+    std::map<std::string, double> loads; ///< by service: requests per slot at its targets there
 };
 
 /// One VM as last heard of.
@@ -148,7 +149,8 @@
     /// \returns the digest to send.
     peer_digest digest(const peer_beat &self, bool everywhere, time_point now) const
     {
-        peer_digest result{self.dataCenter, self.ip, self.configVersion, self.mapVersion, {}};
+        peer_digest result{
+            self.dataCenter, self.ip, self.configVersion, self.mapVersion, {}, {}};
         result.vms.push_back(summaryOf(self, 0));
         for (const auto &[name, peer] : m_peers) {
             if (alive(peer, now) && (everywhere || peer.beat.dataCenter == self.dataCenter)) {
--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -178,6 +178,47 @@
     return std::max<double>(t.inFlight, own + trust * (reported - own));
 }
 
+std::map<std::string, double> target_book::nearLoads(time_point now) const
+{
+    std::map<std::string, std::pair<double, int>> sums; // Requests and slots.
+    for (const auto &[name, t] : m_targets) {
+        if (t.record.dataCenter == m_self && usable(t, now) && !cold(t, now)) {
+            auto &[requests, slots] = sums[t.record.service.str()];
+            requests += expectedLoad(t, now);
+            slots += t.record.slots;
+        }
+    }
+    std::map<std::string, double> loads;
+    for (const auto &[service, sum] : sums) {
+        loads[service] = sum.first / sum.second;
+    }
+    return loads;
+}
+
+void target_book::setFarLoads(const data_center_id &dc, const std::map<std::string, double> &loads,
+                              time_point now)
+{
+    // A few digests; older news of a queue says nothing more.
+    constexpr milliseconds lifetime{1500};
+    for (const auto &[service, perSlot] : loads) {
+        m_farLoads[{dc, service_id(service)}] = {perSlot, now + lifetime};
+    }
+}
+
+/// \returns expectedLoad(), for targets of other data centres at least the mean there: their VMs'
+/// requests are not told one by one.
+double target_book::loadOf(const target_state &t, time_point now) const
+{
+    const double seen = expectedLoad(t, now);
+    if (t.record.dataCenter == m_self) {
+        return seen;
+    }
+    const auto far = m_farLoads.find({t.record.dataCenter, t.record.service});
+    return far == m_farLoads.end() || now >= far->second.until
+        ? seen
+        : std::max(seen, far->second.perSlot * t.record.slots);
+}
+
 target_state *target_book::choose(const service_id &service, const std::set<std::string> &except,
                                   bool preferNear, bool allowCold, time_point now)
 {
@@ -190,7 +231,7 @@
             continue;
         }
         const double work = t.workMillis > 0.0 ? t.workMillis : unknownWorkMillis;
-        const double load = expectedLoad(t, now);
+        const double load = loadOf(t, now);
         const double queued = std::max(0.0, load + 1.0 - t.record.slots) / t.record.slots;
         constexpr double busyShare = 0.1; // A nearly full target is a little slower.
         double score = work * slowdownNow(t, now) * (1.0 + queued + busyShare * load / t.record.slots);
--- a/src/Fleet/target_book.h
+++ b/src/Fleet/target_book.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace damaskward {
@@ -117,6 +118,11 @@
             t.inFlightElsewhere = it == counts.end() ? 0 : it->second;
         }
     }
+    /// \returns by service how many requests there are per slot at this data centre's targets.
+    std::map<std::string, double> nearLoads(time_point now) const;
+    /// Takes over nearLoads() of another data centre, where this VM sees little for itself.
+    void setFarLoads(const data_center_id &dc, const std::map<std::string, double> &loads,
+                     time_point now);
     /// A load report arrived.
     static void reported(target_state &t, const load_report &load, time_point now);
     /// \a t says itself how long it stays cold.
@@ -128,6 +134,13 @@
     static double expectedLoad(const target_state &t, time_point now);
 
 private:
+    struct far_load
+    {
+        double perSlot = 0.0;
+        time_point until{};
+    };
+
+    double loadOf(const target_state &t, time_point now) const;
     void add(const target_record &record, time_point now);
     void noteLeaving(target_state &t, time_point now) const;
     milliseconds warmupOf(const service_id &service) const;
@@ -135,6 +148,7 @@
     data_center_id m_self;
     std::map<std::string, target_state, std::less<>> m_targets;
     std::map<service_id, milliseconds> m_warmup;
+    std::map<std::pair<data_center_id, service_id>, far_load> m_farLoads;
     std::set<data_center_id> m_out;
     bool m_first = true; ///< no registry has been read yet
     std::uint64_t m_turn = 0; ///< breaks ties
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -235,7 +235,9 @@
     if (rank >= tellers) {
         return;
     }
-    const std::string bytes = encodeMessage(m_peers.digest(self, false, now));
+    peer_digest digest = m_peers.digest(self, false, now);
+    digest.loads = m_targets.nearLoads(now);
+    const std::string bytes = encodeMessage(digest);
     const auto turn = static_cast<std::size_t>(m_beatCount / digestEvery + rank);
     std::set<std::string_view> told{self.dataCenter};
     for (const auto &[name, peer] : m_peers.all()) {
@@ -251,6 +253,7 @@
 {
     const time_point now = mono_clock::now();
     m_peers.heard(digest, now);
+    m_targets.setFarLoads(data_center_id(digest.dataCenter), digest.loads, now);
     const bool direct = fromIp == digest.ip;
     if (!direct || digest.dataCenter == m_environment.dataCenter.str()) {
         return;
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -87,7 +87,7 @@
             vms.push_back({vm.name, vm.dataCenter, vm.ip, vm.incarnation, vm.strong, vm.leaving,
                            vm.keeps, vm.ageMillis});
         }
-        return {"c", m.dataCenter, m.ip, m.configVersion, m.mapVersion, std::move(vms)};
+        return {"c", m.dataCenter, m.ip, m.configVersion, m.mapVersion, std::move(vms), m.loads};
     }
     json operator()(const registry_delta &m) const
     {
@@ -181,6 +181,7 @@
         vm.ageMillis = std::max<std::int64_t>(0, item.at(7).get<std::int64_t>());
         m.vms.push_back(std::move(vm));
     }
+    m.loads = a.at(6).get<std::map<std::string, double>>();
     return m;
 }
 
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -211,8 +211,8 @@
             map == m_router.m_owners.end() ? nullptr : map->second.find(*m_key);
         m_admitted = !owner || m_router.admits(owner->target, now);
         if (!m_admitted) {
-            // Its queue is kept short enough to drain in half of the objective.
-            refuse(503, "owner is overloaded", std::max(usualRetryAfter, m_route->objective / 2));
+            // Soon enough that the next try can still be answered within the objective.
+            refuse(503, "owner is overloaded", std::max(usualRetryAfter, m_route->objective / 4));
         }
         return m_admitted;
     }
@@ -487,7 +487,7 @@
     {
         const double work = target.workMillis > 0.0 ? target.workMillis : 1.0;
         const double queue = static_cast<double>(target.load.waiting) / target.record.slots;
-        constexpr double mostMillis = 400.0; // Callers come back within a third of their time.
+        constexpr double mostMillis = 250.0; // The next try can then still be answered in time.
         return std::max(
             usualRetryAfter,
             milliseconds(static_cast<std::int64_t>(std::min(mostMillis, queue * work / 2.0))));
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(partsGetTheirWeights);
     CPPUNIT_TEST(freeTargetBeforeBusyOne);
     CPPUNIT_TEST(nearTargetUnlessItIsBusy);
+    CPPUNIT_TEST(nothingGoesFarWhenAllAreBusy);
     CPPUNIT_TEST(leavingAndLostTargetsGetNothing);
     CPPUNIT_TEST(refusedTargetComesBackCold);
     CPPUNIT_TEST(targetsOfADataCenterTakenBackAreCold);
@@ -115,6 +116,30 @@
             book.choose(service_id("ledger"), {}, true, false, start)->record.name);
     }
 
+    // The pattern of a heavy day: every data centre's targets have a queue. A VM sees its own data
+    // centre's alone, and took the others' for idle.
+    void nothingGoesFarWhenAllAreBusy()
+    {
+        target_book book(data_center_id("near"));
+        target_record far = record("far");
+        far.dataCenter = data_center_id("other");
+        book.applyRegistry({record("near"), far}, start);
+        book.setInFlightElsewhere({{"near", 8}});
+        const auto chosen = [&book](bool preferNear, time_point now) {
+            return book.choose(service_id("ledger"), {}, preferNear, false, now)->record.name;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), chosen(true, start));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, book.nearLoads(start).at("ledger"), 1e-9);
+        book.setFarLoads(data_center_id("other"), {{"ledger", 4.0}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), chosen(true, start));
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), chosen(false, start));
+        // Room over there is made use of, and old news is not relied on.
+        book.setFarLoads(data_center_id("other"), {{"ledger", 0.5}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), chosen(true, start));
+        book.setFarLoads(data_center_id("other"), {{"ledger", 4.0}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), chosen(true, start + seconds(2)));
+    }
+
     void leavingAndLostTargetsGetNothing()
     {
         target_book book(data_center_id("near"));
