Ranks of keepers hold after an outage of the store; a weak keeper yields to a strong VM

The rank of a VM counted from the keeper's silence, so after an outage the first to be answered claimed the lease. Change: the rank counts from when the lease can be claimed; the first three read the row at once. A weak keeper that has heard of a strong VM for 3 s gives the lease up.

--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -155,7 +155,7 @@
     case lease_action::None:
         break;
     }
-    if (m_lease.held(now)) {
+    if (m_lease.held(now) && !(shouldYield(now) && giveUp("a strong VM takes over"))) {
         runKeepers(now);
     }
 }
@@ -486,12 +486,40 @@
 
 void keeper_seat::leave(time_point now)
 {
-    if (!m_lease.held(now) || !m_writing.empty()) {
-        m_leaving = true;
+    m_leaving = true;
+    if (!m_lease.held(now) || !giveUp("leaves")) {
         drop("leaves");
-        return;
     }
-    m_leaving = true;
+}
+
+/// \returns whether a strong VM should keep the keys instead of this weak one, which may have claimed
+/// them while no strong one was in sight. Renewing all grants takes more than a weak VM has.
+bool keeper_seat::shouldYield(time_point now)
+{
+    // Longer than a strong VM takes to be heard of by all after its start.
+    constexpr milliseconds strongerTime{3000};
+    bool stronger = false;
+    for (const auto &[name, peer] : m_peers.all()) {
+        stronger = stronger
+            || (peer.beat.strong && !peer.beat.leaving && peer_book::alive(peer, now));
+    }
+    if (m_peers.strong() || !stronger || !m_lease.held(now)) {
+        m_strongerSince = time_point{};
+        return false;
+    }
+    if (m_strongerSince == time_point{}) {
+        m_strongerSince = now;
+    }
+    return now >= m_strongerSince + strongerTime;
+}
+
+/// Writes the row without a holder, so that another VM takes over at once.
+/// \returns false when a write is under way, whose end has to be waited for
+bool keeper_seat::giveUp(const char *reason)
+{
+    if (!m_writing.empty()) {
+        return false;
+    }
     for (const auto &[service, keeper] : m_keepers) {
         m_row.owners[service] = keeper->record(m_row.nextFence);
     }
@@ -500,10 +528,12 @@
     table_transaction transaction;
     transaction.replace(seatRow, m_lease.version(), m_writing);
     m_lease.sent();
-    m_store.commit(m_table, transaction, [](commit_answer &&) {
+    m_store.commit(m_table, transaction, [this](commit_answer &&) {
         // Unanswered or not: without a renewal the lease runs out by itself.
+        m_lease.lost(m_clock());
     });
-    drop("leaves");
+    drop(reason);
+    return true;
 }
 
 } // namespace damaskward
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -77,6 +77,8 @@
     static std::optional<seat_row> decodeRow(const std::string &text);
 
     bool otherKeeperAlive(time_point now) const;
+    bool shouldYield(time_point now);
+    bool giveUp(const char *reason);
     keeper_timing timingFor(const service_id &service) const;
     owner_views viewsOf(const service_id &service, time_point now);
     void runKeepers(time_point now);
@@ -125,6 +127,7 @@
     time_point m_publishAt{};
     time_point m_failingSince{}; ///< of writes to the store
     bool m_heldOver = false;
+    time_point m_strongerSince{}; ///< since when this weak keeper has heard of a strong VM
     bool m_leaving = false;
 };
 
--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -4,8 +4,11 @@
 #pragma once
 
 #include "../Core/time.h"
+
 #include "../Table/table.h"
 
+#include <algorithm>
+
 namespace damaskward {
 
 /// Spans of the keeper's lease.
@@ -68,14 +71,24 @@
             m_quietSince = now;
         }
         if (otherAlive) {
+            m_freeSince = time_point{};
             return lease_action::None;
         }
-        if (now < m_quietSince + rank * m_timing.rankDelay || now < m_actAt) {
+        const int readRank = std::max(0, rank - (readers - 1));
+        if (now < m_quietSince + readRank * m_timing.rankDelay || now < m_actAt) {
             return lease_action::None;
         }
         const bool known = m_seen != noVersion && m_read == m_seen;
-        const bool free = known && (m_free || now >= m_seenAt + m_timing.lease);
-        return free ? lease_action::Claim : lease_action::Read;
+        if (!known || !(m_free || now >= m_seenAt + m_timing.lease)) {
+            m_freeSince = time_point{};
+            return lease_action::Read;
+        }
+        // Counted from here, for after an outage of the store the lease has run out for all.
+        if (m_freeSince == time_point{}) {
+            m_freeSince = now;
+        }
+        return now >= m_freeSince + rank * m_timing.rankDelay ? lease_action::Claim
+                                                             : lease_action::None;
     }
 
     /// The holder has said which version its last renewal has. So the time in which the row must
@@ -130,6 +143,7 @@
         m_busy = false;
         m_held = false;
         m_seen = noVersion;
+        m_freeSince = time_point{};
         m_quietSince = now;
         m_actAt = now;
     }
@@ -144,6 +158,8 @@
 
 private:
     static constexpr row_version noVersion = ~row_version{0};
+    /// So many VMs read the row as soon as its holder is silent; the others read later.
+    static constexpr int readers = 3;
 
     lease_timing m_timing;
     bool m_held = false;
@@ -152,6 +168,7 @@
     row_version m_seen = noVersion;
     row_version m_read = noVersion; ///< the version whose content is known
     time_point m_seenAt{}; ///< when the row was first seen at that version
+    time_point m_freeSince{}; ///< since when it could be claimed
     time_point m_quietSince{}; ///< since when no other keeper was heard
     time_point m_leaseEnd{};
     time_point m_actAt{};
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(movedBankStaysInsideTheTolerance);
     CPPUNIT_TEST(overtakenBeatIsIgnored);
     CPPUNIT_TEST(leaseIsClaimedAfterItsLapse);
+    CPPUNIT_TEST(rankHoldsAfterAnOutage);
     CPPUNIT_TEST(heartbeatVersionSavesASecondWait);
     CPPUNIT_TEST(slowTargetsShow);
     CPPUNIT_TEST(messagesSurviveTheWire);
@@ -493,6 +494,32 @@
         CPPUNIT_ASSERT(lease.renewalOverdue(start + timing.lease + timing.overdueAfter));
     }
 
+    // After an outage of the store the lease has run out for all VMs, and the first to be answered
+    // took it: a weak VM, which could not renew the grants of 209 targets.
+    void rankHoldsAfterAnOutage()
+    {
+        const lease_timing timing;
+        const time_point back = start + seconds(5);
+        keeper_lease first({});
+        keeper_lease fifth({});
+        for (keeper_lease *lease : {&first, &fifth}) {
+            lease->step(false, 0, start);
+            lease->sent();
+            lease->read(7, false, start);
+            lease->step(false, 0, start + timing.readAfter);
+            lease->sent();
+            lease->failed(back - milliseconds(300));
+        }
+        CPPUNIT_ASSERT(fifth.step(false, 5, back) == lease_action::None);
+        CPPUNIT_ASSERT(first.step(false, 0, back) == lease_action::Claim);
+        CPPUNIT_ASSERT(fifth.step(false, 5, back + 5 * timing.rankDelay - milliseconds(1))
+                       == lease_action::None);
+        CPPUNIT_ASSERT(fifth.step(false, 5, back + 5 * timing.rankDelay) == lease_action::Claim);
+        // Unless the one before it is heard of meanwhile.
+        CPPUNIT_ASSERT(fifth.step(true, 5, back + seconds(2)) == lease_action::None);
+        CPPUNIT_ASSERT(fifth.step(false, 5, back + seconds(3)) == lease_action::None);
+    }
+
     void heartbeatVersionSavesASecondWait()
     {
         const lease_timing timing;
