VMs try the store one after the other; a restarted VM reads it at once

Change: without a reader in its data centre a VM waits half a second for each VM before it in rank; any VM that reads well is followed, so one that the store turns away follows the next; failed readings, registrations and looks at the keeper's row pause ever longer, but for the first in rank. At the fleet's first start a VM listens for 0.6 s before it reads; one that restarts without a configuration reads at once.

--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -238,9 +238,32 @@
         });
     }
 
+    /// \returns the first for \a duty of those VMs of this data centre that read the store for it,
+    /// or null; heartbeats older than \a silence do not count.
+    const peer_state *reader(std::string_view duty, milliseconds silence, time_point now) const
+    {
+        const std::uint64_t hash = keyHash(duty);
+        const auto rankOf = [hash](const peer_state &peer) {
+            return std::pair(peer.beat.strong, combineHash(hash, peer.hash));
+        };
+        const peer_state *best = nullptr;
+        for (const auto &[name, peer] : m_peers) {
+            const bool reads = peer.beat.dataCenter == m_dataCenter && peer.beat.readsStore
+                && !peer.beat.leaving && now < peer.heardAt + silence;
+            if (reads && (!best || rankOf(*best) < rankOf(peer))) {
+                best = &peer;
+            }
+        }
+        return best;
+    }
+
     /// \returns how many living VMs come before this one for the duty named \a duty: strong ones
     /// first, then by rendezvous hashing. Bounded, so that in a large fleet nobody waits for long.
-    int rankFor(std::string_view duty, time_point now) const { return rankAmong({}, duty, now); }
+    int rankFor(std::string_view duty, time_point now) const
+    {
+        constexpr int mostRank = 8;
+        return std::min(rankAmong({}, duty, now), mostRank);
+    }
 
     /// \returns how many living VMs of this one's data centre come before it for \a duty.
     int rankWithin(std::string_view duty, time_point now) const
@@ -257,7 +280,6 @@
 
     int rankAmong(std::string_view dc, std::string_view duty, time_point now) const
     {
-        constexpr int mostRank = 8;
         const std::uint64_t hash = keyHash(duty);
         const std::uint64_t own = combineHash(hash, m_selfHash);
         int rank = 0;
@@ -267,7 +289,7 @@
             const bool counts = dc.empty() || peer.beat.dataCenter == dc;
             rank += before && counts && alive(peer, now) && !peer.beat.leaving ? 1 : 0;
         }
-        return std::min(rank, mostRank);
+        return rank;
     }
 
     template <typename Counts>
--- a/src/Fleet/vm_environment.h
+++ b/src/Fleet/vm_environment.h
@@ -39,6 +39,7 @@
     std::uint16_t metricsPort = 9464; ///< Prometheus' usual port for exporters
     std::vector<std::string> seedIps; ///< some other VMs; they may be gone
     std::string storeAddress; ///< the platform's store
+    bool firstStart = false; ///< the whole fleet starts for the first time: no callers yet
     double cpuShare = 1.0; ///< of a core
     std::size_t memoryBytes = 0; ///< the process is killed beyond this
     fleet_bounds bounds;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -20,6 +20,12 @@
 /// connection that has silently died.
 constexpr milliseconds operatorWait{3000};
 constexpr milliseconds storeRetryPause{250};
+constexpr milliseconds longestRetryPause{2000};
+/// Without a reader, each next VM of a data centre waits this much longer before it reads itself:
+/// a reading and the heartbeat that tells of it.
+constexpr milliseconds readerTurn{500};
+/// After its start a VM hears within this time from the others, if there are any.
+constexpr milliseconds greetingTime{600};
 constexpr milliseconds peersPause{10000};
 /// The store counts as lost after this time without a good answer.
 constexpr milliseconds storeLostAfter{2000};
@@ -132,7 +138,8 @@
             drain();
         }
     });
-    updateLimits(mono_clock::now());
+    m_begunAt = mono_clock::now();
+    updateLimits(m_begunAt);
     storeTick();
     registerSelf();
     beatTick();
@@ -535,7 +542,14 @@
         }
         m_storeLost = false;
         m_storeGoodAt = now;
-    } else if (!m_storeLost && now >= m_storeGoodAt + storeLostAfter) {
+        m_storePause = milliseconds(0);
+        return;
+    }
+    // Ever longer, so that an outage does not bring the calls of all VMs.
+    m_storePause = std::clamp(2 * m_storePause, storeRetryPause,
+                              readsForOthers(now) ? 2 * storeRetryPause : longestRetryPause);
+    m_storeRetryAt = now + m_storePause;
+    if (!m_storeLost && now >= m_storeGoodAt + storeLostAfter) {
         m_storeLost = true;
         m_log.write(log_line("store lost").add("step", "read"));
     }
@@ -547,24 +561,45 @@
         == m_environment.name.str();
 }
 
-/// \returns whether the other VMs of the data centre may go by what this one has read: it is their
-/// reader, and its own last readings are fresh. A VM that was cut off has old ones at first.
+/// \returns whether the other VMs of the data centre may go by what this one has read: its last
+/// readings are fresh. A VM that was cut off has old ones at first.
 bool node::readsWell(time_point now) const
 {
     const bool returning = m_storeBackAt != time_point{} && now < m_storeBackAt + recordsReturn;
-    return readsForOthers(now) && !returning && now < m_targetsGoodAt + readerGoodFor
+    return !returning && now < m_targetsGoodAt + readerGoodFor
         && now < m_operatorsGoodAt + operatorWait + readerGoodFor;
 }
 
-/// \returns the VM that reads the store for this one, or null when this one has to read itself:
-/// it is the reader, or the reader is silent or not answered by the store.
+/// \returns the VM that reads the store for this one, or null when there is none or it is this one.
 const peer_state *node::readerFollowed(time_point now) const
 {
-    const auto it =
-        m_peers.all().find(m_peers.placeWithin(m_environment.dataCenter.str(), readerDuty, now));
-    const bool good = it != m_peers.all().end() && it->second.beat.readsStore
-        && now < it->second.heardAt + readerSilence;
-    return good ? &it->second : nullptr;
+    const bool ownReadingsFail = m_storePause.count() > 0;
+    return readsForOthers(now) && !ownReadingsFail
+        ? nullptr
+        : m_peers.reader(readerDuty, readerSilence, now);
+}
+
+/// \returns whether this VM reads the store itself now. Without a reader the VMs of the data centre
+/// try one after the other: the reader may have died, or the store turns it away alone.
+bool node::readsItself(time_point now)
+{
+    if (readerFollowed(now)) {
+        m_noReaderSince = time_point{};
+        return false;
+    }
+    if (m_noReaderSince == time_point{}) {
+        m_noReaderSince = now;
+    }
+    if (now < m_storeRetryAt) {
+        return false;
+    }
+    const bool ignorant = !m_router.config() || m_targets.all().empty();
+    if (ignorant && !m_environment.firstStart) {
+        return true; // Callers wait here already.
+    }
+    const int rank = m_peers.rankWithin(readerDuty, now);
+    const bool mayBeAlone = rank == 0 && m_peers.all().empty() && now < m_begunAt + greetingTime;
+    return !mayBeAlone && now >= m_noReaderSince + rank * readerTurn;
 }
 
 void node::followReader(const peer_beat &beat, time_point now)
@@ -630,7 +665,7 @@
 void node::storeTick()
 {
     const time_point now = mono_clock::now();
-    if (!readerFollowed(now)) {
+    if (readsItself(now)) {
         if (!m_followingOperators) {
             readOperators();
         }
@@ -797,8 +832,9 @@
         }
     }
     // Before records of this VM's own memory are added: they may be old.
-    if (const auto delta = m_relay.read(records)) {
-        sendNear(*delta);
+    const auto delta = m_relay.read(records);
+    if (delta && delta->base != 0) {
+        sendNear(*delta); // A whole version is fetched, as the heartbeats show it.
     }
     const bool returning = m_storeBackAt != time_point{} && now < m_storeBackAt + recordsReturn;
     if (returning) {
@@ -824,7 +860,8 @@
         if (answer.outcome == commit_outcome::Applied) {
             readPeers();
         } else {
-            after(storeRetryPause, [this] { registerSelf(); });
+            m_registerPause = std::clamp(2 * m_registerPause, storeRetryPause, longestRetryPause);
+            after(m_registerPause, [this] { registerSelf(); });
         }
     });
 }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -61,6 +61,7 @@
     bool readsForOthers(time_point now) const;
     bool readsWell(time_point now) const;
     const peer_state *readerFollowed(time_point now) const;
+    bool readsItself(time_point now);
     void followReader(const peer_beat &beat, time_point now);
     void followRegistry(const registry_delta &delta);
     void fetchRegistry(const std::string &ip);
@@ -142,6 +143,11 @@
     time_point m_storeGoodAt{}; ///< the last good answer of the store
     time_point m_storeBackAt{}; ///< the first good answer after an outage
     bool m_storeLost = false;
+    time_point m_begunAt{};
+    time_point m_noReaderSince{}; ///< since when no other VM reads the store for this one
+    time_point m_storeRetryAt{}; ///< not before this point, after failed readings
+    milliseconds m_storePause{0}; ///< after the last failed reading
+    milliseconds m_registerPause{0}; ///< after the last failed attempt to register
     bool m_draining = false;
     time_point m_drainEnd{};
 };
--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -61,6 +61,7 @@
             m_seen = noVersion;
             m_quietSince = now;
         }
+        m_rank = rank;
         if (m_busy) {
             return lease_action::None;
         }
@@ -110,6 +111,7 @@
     void read(row_version version, bool free, time_point now)
     {
         m_busy = false;
+        m_pause = milliseconds(0);
         m_read = version;
         if (m_seen != version) {
             m_seen = version;
@@ -133,8 +135,13 @@
     void failed(time_point now)
     {
         m_busy = false;
-        constexpr milliseconds pause{200};
-        m_actAt = now + pause;
+        // The holder and the first in rank go on trying; the others wait ever longer, so that an
+        // outage does not bring the calls of all VMs.
+        constexpr milliseconds firstPause{200};
+        constexpr milliseconds longestPause{3200};
+        m_pause = m_held || m_rank < readers ? firstPause
+                                             : std::clamp(2 * m_pause, firstPause, longestPause);
+        m_actAt = now + m_pause;
     }
 
     /// Another VM has written the row.
@@ -164,6 +171,8 @@
     lease_timing m_timing;
     bool m_held = false;
     bool m_busy = false;
+    int m_rank = 0; ///< as last told
+    milliseconds m_pause{0}; ///< after the last failed call
     bool m_free = false;
     row_version m_seen = noVersion;
     row_version m_read = noVersion; ///< the version whose content is known
