An owner whose address another target has is not waited for

Ruled out: refused connections as a proof (cuts refuse too), removal from the registry (some go on serving). Change: the platform gives an address away only after its process has ended; so a record of a later life at the address of an unlisted target ends the wait.

--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -178,6 +178,18 @@
     return std::max<double>(t.inFlight, own + trust * (reported - own));
 }
 
+std::map<std::string_view, std::int64_t> target_book::newestLives() const
+{
+    std::map<std::string_view, std::int64_t> lives;
+    for (const auto &[name, t] : m_targets) {
+        if (t.listed) {
+            std::int64_t &newest = lives[t.record.address];
+            newest = std::max(newest, t.record.incarnation);
+        }
+    }
+    return lives;
+}
+
 std::map<std::string, double> target_book::nearLoads(time_point now) const
 {
     std::map<std::string, std::pair<double, int>> sums; // Requests and slots.
--- a/src/Fleet/target_book.h
+++ b/src/Fleet/target_book.h
@@ -118,6 +118,9 @@
             t.inFlightElsewhere = it == counts.end() ? 0 : it->second;
         }
     }
+    /// \returns by address when the newest life that is listed there began. The platform gives an
+    /// address away only after the process that had it has ended.
+    std::map<std::string_view, std::int64_t> newestLives() const;
     /// \returns by service how many requests there are per slot at this data centre's targets.
     std::map<std::string, double> nearLoads(time_point now) const;
     /// Takes over nearLoads() of another data centre, where this VM sees little for itself.
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -179,6 +179,7 @@
 owner_views keeper_seat::viewsOf(const service_id &service, time_point now)
 {
     owner_views views;
+    const auto lives = m_targets.newestLives();
     for (const auto &[name, t] : m_targets.all()) {
         if (t.record.service != service) {
             continue;
@@ -188,6 +189,9 @@
         view.capacity = t.record.slots * m_work.rateOf(name);
         view.reachable = t.listed;
         view.mayOwn = t.leavingSince == time_point{};
+        const auto life = lives.find(t.record.address);
+        view.ended =
+            !t.listed && life != lives.end() && life->second > t.record.incarnation;
         view.cold = target_book::cold(t, now);
         views[name] = view;
     }
--- a/src/Ranges/range_keeper.h
+++ b/src/Ranges/range_keeper.h
@@ -57,6 +57,7 @@
     double capacity = 1.0;
     bool reachable = true; ///< listed in the registry
     bool mayOwn = true; ///< neither draining nor taken out
+    bool ended = false; ///< its process has surely ended: another has its address
     bool cold = false;
 };
 
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(freeTargetBeforeBusyOne);
     CPPUNIT_TEST(nearTargetUnlessItIsBusy);
     CPPUNIT_TEST(nothingGoesFarWhenAllAreBusy);
+    CPPUNIT_TEST(newestLifeAtAnAddressIsKnown);
     CPPUNIT_TEST(leavingAndLostTargetsGetNothing);
     CPPUNIT_TEST(refusedTargetComesBackCold);
     CPPUNIT_TEST(targetsOfADataCenterTakenBackAreCold);
@@ -141,6 +142,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("far"), chosen(true, start + seconds(2)));
     }
 
+    void newestLifeAtAnAddressIsKnown()
+    {
+        target_book book(data_center_id("near"));
+        target_record next = record("next", 1);
+        next.incarnation = 9;
+        next.service = service_id("other");
+        book.applyRegistry({record("first")}, start);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, book.newestLives().at("10.0.0.1:1"));
+        book.applyRegistry({next}, start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, book.newestLives().at("10.0.0.1:1"));
+    }
+
     void leavingAndLostTargetsGetNothing()
     {
         target_book book(data_center_id("near"));
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(ownerBelowItsCapacityIsNotLimited);
     CPPUNIT_TEST(limitEndsWithTheOverload);
     CPPUNIT_TEST(silentOwnerIsWaitedFor);
+    CPPUNIT_TEST(endedOwnerIsNotWaitedFor);
     CPPUNIT_TEST(doubtfulGrantDelaysTheNextOwner);
     CPPUNIT_TEST(gapsInTheRecordAreFilled);
     CPPUNIT_TEST_SUITE_END();
@@ -451,6 +452,38 @@
         CPPUNIT_ASSERT(now < lastGrant + timing.hold + seconds(1));
     }
 
+    // A data centre's targets all start anew under other names while the keeper changes: it waited for
+    // the longest hold of each former life, ten seconds.
+    void endedOwnerIsNotWaitedFor()
+    {
+        range_keeper keeper({}, {ownedByFirst()}, true, start);
+        const time_point forever = start + seconds(1000);
+        owner_views seen = views(2);
+        seen["t0"].reachable = false;
+        time_point now = start;
+        std::uint64_t nextFence = 8;
+        std::string owner = "t0";
+        const auto step = [&] {
+            now += milliseconds(50);
+            for (const range_order &order : keeper.step(seen, forever, now)) {
+                keeper.ended(std::visit([](const auto &o) { return o.number; }, order),
+                             order_outcome::Unanswered, {}, now);
+            }
+            if (keeper.wantsRecord()) {
+                owner = keeper.record(nextFence).front().target;
+                keeper.recorded(now);
+            }
+        };
+        while (now < start + seconds(4)) {
+            step();
+            CPPUNIT_ASSERT_EQUAL(std::string("t0"), owner); // At most a new fence for it.
+        }
+        seen["t0"].ended = true;
+        step();
+        step();
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), owner);
+    }
+
     /// Drives a keeper whose owner t0 has not answered a renewal and is now to leave.
     /// \param answersNewFence t0 answers a grant with a higher fence
     /// \param releasedAt when t0 was told to release the keys
