--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -21,6 +21,11 @@
 constexpr double reportAgeMillis = 300.0;
 /// The time after which a target's slowdown says nothing more: it changes many times a second.
 constexpr double slowdownAgeMillis = 400.0;
+/// After this many connections in a row that were not opened in time, to any of its targets, a data
+/// centre is taken for cut off: more than the targets of one machine that has died.
+constexpr int failuresToBeSilent = 4;
+/// Then one request in this time tries whether it is back.
+constexpr milliseconds probePause{250};
 /// Assumed answer time of a target that has not answered yet.
 constexpr double unknownWorkMillis = 150.0;
 /// A cross-data-centre answer must be expected this much sooner to be worth its bytes: a tenth of
@@ -154,7 +159,31 @@
 bool target_book::usable(const target_state &t, time_point now) const
 {
     return t.listed && !t.record.draining && m_out.count(t.record.dataCenter) == 0
-        && now >= t.refusingUntil;
+        && now >= t.refusingUntil && !away(t, now);
+}
+
+void target_book::unreachable(const target_state &t, time_point now)
+{
+    if (t.record.dataCenter != m_self) {
+        silent_center &center = m_silentCenters[t.record.dataCenter];
+        ++center.failures;
+        center.probeAt = std::max(center.probeAt, now);
+    }
+}
+
+void target_book::probing(const target_state &t, time_point now)
+{
+    const auto it = m_silentCenters.find(t.record.dataCenter);
+    if (it != m_silentCenters.end() && it->second.failures >= failuresToBeSilent) {
+        it->second.probeAt = now + probePause;
+    }
+}
+
+bool target_book::away(const target_state &t, time_point now) const
+{
+    const auto it = m_silentCenters.find(t.record.dataCenter);
+    return it != m_silentCenters.end() && it->second.failures >= failuresToBeSilent
+        && now < it->second.probeAt;
 }
 
 double target_book::slowdownNow(const target_state &t, time_point now)
--- a/src/Fleet/target_book.h
+++ b/src/Fleet/target_book.h
@@ -118,6 +118,14 @@
             t.inFlightElsewhere = it == counts.end() ? 0 : it->second;
         }
     }
+    /// A connection to \a t was not opened in time: its data centre may be cut off from this one.
+    void unreachable(const target_state &t, time_point now);
+    /// \a t has answered.
+    void reached(const target_state &t) { m_silentCenters.erase(t.record.dataCenter); }
+    /// A request is sent to \a t: where its data centre is silent, the only one for a while.
+    void probing(const target_state &t, time_point now);
+    /// \returns whether the data centre of \a t answers nobody here, and this is no time to probe.
+    bool away(const target_state &t, time_point now) const;
     /// \returns by address when the newest life that is listed there began. The platform gives an
     /// address away only after the process that had it has ended.
     std::map<std::string_view, std::int64_t> newestLives() const;
@@ -143,6 +151,12 @@
         time_point until{};
     };
 
+    struct silent_center
+    {
+        int failures = 0; ///< connections in a row that were not opened in time
+        time_point probeAt{}; ///< the next request that may try
+    };
+
     double loadOf(const target_state &t, time_point now) const;
     void add(const target_record &record, time_point now);
     void noteLeaving(target_state &t, time_point now) const;
@@ -152,6 +166,7 @@
     std::map<std::string, target_state, std::less<>> m_targets;
     std::map<service_id, milliseconds> m_warmup;
     std::map<std::pair<data_center_id, service_id>, far_load> m_farLoads;
+    std::map<data_center_id, silent_center> m_silentCenters;
     std::set<data_center_id> m_out;
     bool m_first = true; ///< no registry has been read yet
     std::uint64_t m_turn = 0; ///< breaks ties
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -279,6 +279,10 @@
         const range_owner *owner =
             map == m_router.m_owners.end() ? nullptr : map->second.find(*m_key);
         target_state *target = owner ? m_router.m_targets.find(owner->target) : nullptr;
+        if (target && m_router.m_targets.away(*target, now)) {
+            refuseUnlessRun(503, "owner's data centre is unreachable", usualRetryAfter);
+            return;
+        }
         if (!target || !ownerUsable(*target, now)) {
             waitForOwner(owner && owner->target.empty() ? owner->wait : ownerPause, now);
             return;
@@ -363,6 +367,7 @@
         }
         m_sentToIdle = target_book::expectedLoad(target, now) < target.record.slots;
         target_book::started(target);
+        m_router.m_targets.probing(target, now);
         outgoing_call call;
         call.peer = m_target;
         call.address = target.record.address;
@@ -418,6 +423,7 @@
             return;
         }
         if (target) {
+            m_router.m_targets.reached(*target);
             readReports(*target, result.answer, now);
         }
         const unsigned status = result.answer.result_int();
@@ -535,6 +541,9 @@
             if (target) {
                 m_router.m_targets.ended(*target, std::nullopt, now);
                 m_router.m_targets.refused(*target, now);
+                if (failure == call_failure::Unreachable) {
+                    m_router.m_targets.unreachable(*target, now);
+                }
                 m_router.m_pool.forget(m_target);
             }
             m_tried.insert(m_target);
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(freeTargetBeforeBusyOne);
     CPPUNIT_TEST(nearTargetUnlessItIsBusy);
     CPPUNIT_TEST(nothingGoesFarWhenAllAreBusy);
+    CPPUNIT_TEST(silentDataCenterIsProbedOnly);
     CPPUNIT_TEST(newestLifeAtAnAddressIsKnown);
     CPPUNIT_TEST(leavingAndLostTargetsGetNothing);
     CPPUNIT_TEST(refusedTargetComesBackCold);
@@ -142,6 +143,40 @@
         CPPUNIT_ASSERT_EQUAL(std::string("far"), chosen(true, start + seconds(2)));
     }
 
+    // A data centre that is cut off: each request to it waited for a connection in vain.
+    void silentDataCenterIsProbedOnly()
+    {
+        target_book book(data_center_id("near"));
+        std::vector<target_record> records{record("near")};
+        for (int i = 0; i < 5; ++i) {
+            records.push_back(record("far" + std::to_string(i)));
+            records.back().dataCenter = data_center_id("other");
+        }
+        book.applyRegistry(records, start);
+        const auto usable = [&book](const std::string &name, time_point now) {
+            return book.usable(*book.find(name), now);
+        };
+        for (int i = 0; i < 3; ++i) {
+            book.unreachable(*book.find("far" + std::to_string(i)), start);
+        }
+        book.probing(*book.find("far3"), start);
+        CPPUNIT_ASSERT(usable("far4", start)); // One machine may have died.
+        book.unreachable(*book.find("far3"), start);
+        CPPUNIT_ASSERT(usable("far4", start));
+        book.probing(*book.find("far4"), start); // This one request tries.
+        CPPUNIT_ASSERT(!usable("far4", start + milliseconds(100)));
+        CPPUNIT_ASSERT(book.away(*book.find("far0"), start + milliseconds(100)));
+        CPPUNIT_ASSERT(usable("near", start + milliseconds(100)));
+        CPPUNIT_ASSERT(usable("far4", start + milliseconds(250)));
+        book.reached(*book.find("far0"));
+        CPPUNIT_ASSERT(usable("far4", start + milliseconds(100)));
+        // Targets of the own data centre are judged one by one.
+        for (int i = 0; i < 9; ++i) {
+            book.unreachable(*book.find("near"), start);
+        }
+        CPPUNIT_ASSERT(usable("near", start));
+    }
+
     void newestLifeAtAnAddressIsKnown()
     {
         target_book book(data_center_id("near"));
