--- a/src/Admission/team_bank.h
+++ b/src/Admission/team_bank.h
@@ -73,9 +73,9 @@
         draw_answer answer;
         if (now < m_filledAt || now >= authority) {
             answer.open = false;
-            answer.retryMicros =
-                std::chrono::duration_cast<microseconds>(std::max(duration::zero(), m_filledAt - now))
-                    .count();
+            answer.retryMicros = std::chrono::duration_cast<microseconds>(
+                                     std::max(duration::zero(), m_filledAt - now))
+                                     .count();
             return answer;
         }
         batch &held = m_drawn[request.from];
--- a/src/Admission/token_desk.h
+++ b/src/Admission/token_desk.h
@@ -174,8 +174,7 @@
     static void tellCovered(desk_entry &e, int tokens)
     {
         const auto first = e.waiting.begin();
-        const auto end =
-            first + static_cast<std::ptrdiff_t>(std::min(e.covered, e.waiting.size()));
+        const auto end = first + static_cast<std::ptrdiff_t>(std::min(e.covered, e.waiting.size()));
         const std::vector<token_callback> covered(std::make_move_iterator(first),
                                                   std::make_move_iterator(end));
         e.waiting.erase(first, end);
--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -145,12 +145,11 @@
     }
 
     /// \param self this VM's own heartbeat
-    /// \param everywhere whether VMs of other data centres are told of too, for a VM that knows none
-    /// \returns the digest to send.
+    /// \param everywhere whether VMs of other data centres are told of too, for a VM that knows
+    /// none \returns the digest to send.
     peer_digest digest(const peer_beat &self, bool everywhere, time_point now) const
     {
-        peer_digest result{
-            self.dataCenter, self.ip, self.configVersion, self.mapVersion, {}, {}};
+        peer_digest result{self.dataCenter, self.ip, self.configVersion, self.mapVersion, {}, {}};
         result.vms.push_back(summaryOf(self, 0));
         for (const auto &[name, peer] : m_peers) {
             if (alive(peer, now) && (everywhere || peer.beat.dataCenter == self.dataCenter)) {
@@ -160,9 +159,9 @@
         return result;
     }
 
-    /// \returns the VM of data centre \a dc to tell in turn \a turn: the first two for \a duty there
-    /// alternate, so that the loss of one loses every second digest only. Where none is alive, all
-    /// that are known take turns. Null when none is known.
+    /// \returns the VM of data centre \a dc to tell in turn \a turn: the first two for \a duty
+    /// there alternate, so that the loss of one loses every second digest only. Where none is
+    /// alive, all that are known take turns. Null when none is known.
     const peer_state *listener(std::string_view dc, std::string_view duty, std::size_t turn,
                                time_point now) const
     {
@@ -274,8 +273,8 @@
 private:
     static peer_summary summaryOf(const peer_beat &beat, std::int64_t ageMillis)
     {
-        return {beat.name,    beat.dataCenter, beat.ip, beat.incarnation, beat.strong, beat.leaving,
-                beat.keeperVersion != 0, ageMillis};
+        return {beat.name,    beat.dataCenter,         beat.ip,  beat.incarnation, beat.strong,
+                beat.leaving, beat.keeperVersion != 0, ageMillis};
     }
 
     int rankAmong(std::string_view dc, std::string_view duty, time_point now) const
--- a/src/Fleet/target_book.cpp
+++ b/src/Fleet/target_book.cpp
@@ -275,7 +275,8 @@
         const double load = loadOf(t, now);
         const double queued = std::max(0.0, load + 1.0 - t.record.slots) / t.record.slots;
         constexpr double busyShare = 0.1; // A nearly full target is a little slower.
-        double score = work * slowdownNow(t, now) * (1.0 + queued + busyShare * load / t.record.slots);
+        double score =
+            work * slowdownNow(t, now) * (1.0 + queued + busyShare * load / t.record.slots);
         if (t.record.dataCenter != m_self) {
             score += preferNear ? farDownloadPenaltyMillis : farPenaltyMillis;
         }
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -190,8 +190,7 @@
         view.reachable = t.listed;
         view.mayOwn = t.leavingSince == time_point{};
         const auto life = lives.find(t.record.address);
-        view.ended =
-            !t.listed && life != lives.end() && life->second > t.record.incarnation;
+        view.ended = !t.listed && life != lives.end() && life->second > t.record.incarnation;
         view.cold = target_book::cold(t, now);
         views[name] = view;
     }
@@ -496,16 +495,17 @@
     }
 }
 
-/// \returns whether a strong VM should keep the keys instead of this weak one, which may have claimed
-/// them while no strong one was in sight. Renewing all grants takes more than a weak VM has.
+/// \returns whether a strong VM should keep the keys instead of this weak one, which may have
+/// claimed them while no strong one was in sight. Renewing all grants takes more than a weak VM
+/// has.
 bool keeper_seat::shouldYield(time_point now)
 {
     // Longer than a strong VM takes to be heard of by all after its start.
     constexpr milliseconds strongerTime{3000};
     bool stronger = false;
     for (const auto &[name, peer] : m_peers.all()) {
-        stronger = stronger
-            || (peer.beat.strong && !peer.beat.leaving && peer_book::alive(peer, now));
+        stronger =
+            stronger || (peer.beat.strong && !peer.beat.leaving && peer_book::alive(peer, now));
     }
     if (m_peers.strong() || !stronger || !m_lease.held(now)) {
         m_strongerSince = time_point{};
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -245,7 +245,8 @@
     peer_digest digest = m_peers.digest(self, false, now);
     digest.loads = m_targets.nearLoads(now);
     const std::string bytes = encodeMessage(digest);
-    const auto turn = static_cast<std::size_t>(m_beatCount / digestEvery + rank);
+    const auto turn =
+        static_cast<std::size_t>(m_beatCount) / digestEvery + static_cast<std::size_t>(rank);
     std::set<std::string_view> told{self.dataCenter};
     for (const auto &[name, peer] : m_peers.all()) {
         if (told.insert(peer.beat.dataCenter).second) {
@@ -527,7 +528,8 @@
 {
     if (m_tokens.granted(grant, now)) {
         constexpr microseconds leastPause{5000}; // Those that wait are drawn for together.
-        after(std::max(leastPause, microseconds(grant.answer.retryMicros)), [this] { sendDraws(); });
+        after(std::max(leastPause, microseconds(grant.answer.retryMicros)),
+              [this] { sendDraws(); });
     }
 }
 
@@ -574,9 +576,8 @@
 const peer_state *node::readerFollowed(time_point now) const
 {
     const bool ownReadingsFail = m_storePause.count() > 0;
-    return readsForOthers(now) && !ownReadingsFail
-        ? nullptr
-        : m_peers.reader(readerDuty, readerSilence, now);
+    return readsForOthers(now) && !ownReadingsFail ? nullptr
+                                                   : m_peers.reader(readerDuty, readerSilence, now);
 }
 
 /// \returns whether this VM reads the store itself now. Without a reader the VMs of the data centre
--- a/src/Node/peer_message.h
+++ b/src/Node/peer_message.h
@@ -31,7 +31,8 @@
 struct owner_shares
 {
     std::uint64_t version = 0; ///< as in owner_update, but counted apart
-    std::map<std::string, double> shares; ///< of the requests that a target can take; others take all
+    std::map<std::string, double>
+        shares; ///< of the requests that a target can take; others take all
 };
 
 /// "Send me your owner_update."
@@ -48,8 +49,7 @@
 };
 
 using peer_message = std::variant<peer_beat, owner_update, owner_query, key_demand, peer_draw,
-                                  token_grant, registry_delta, peer_digest,
-                                  owner_shares>;
+                                  token_grant, registry_delta, peer_digest, owner_shares>;
 
 /// \returns \a message as a datagram.
 std::string encodeMessage(const peer_message &message);
--- a/src/Proxy/request_router.h
+++ b/src/Proxy/request_router.h
@@ -91,7 +91,8 @@
     metrics &m_metrics;
     std::function<void()> m_drawNow;
     std::shared_ptr<const deployment> m_config;
-    /// A share of requests is let through evenly: each adds the share, and one passes at each whole.
+    /// A share of requests is let through evenly: each adds the share, and one passes at each
+    /// whole.
     struct owner_gate
     {
         double share = 1.0;
--- a/src/Ranges/keeper_lease.h
+++ b/src/Ranges/keeper_lease.h
@@ -89,7 +89,7 @@
             m_freeSince = now;
         }
         return now >= m_freeSince + rank * m_timing.rankDelay ? lease_action::Claim
-                                                             : lease_action::None;
+                                                              : lease_action::None;
     }
 
     /// The holder has said which version its last renewal has. So the time in which the row must
--- a/src/Ranges/owner_admission.h
+++ b/src/Ranges/owner_admission.h
@@ -118,8 +118,7 @@
         if (capacity.perSecond <= 0.0 || (calm && rate < sureOverload * capacity.perSecond)) {
             return 1.0;
         }
-        const double room =
-            capacity.perSecond + (capacity.mostWaiting - waiting) / settleSeconds;
+        const double room = capacity.perSecond + (capacity.mostWaiting - waiting) / settleSeconds;
         return std::clamp(room / rate, leastShare, 1.0);
     }
 
--- a/src/Ranges/range_keeper.cpp
+++ b/src/Ranges/range_keeper.cpp
@@ -121,8 +121,8 @@
         return;
     }
     const auto it = views.find(p.owner.target);
-    const bool reborn = it != views.end()
-        && (it->second.ended || it->second.incarnation > p.owner.incarnation);
+    const bool reborn =
+        it != views.end() && (it->second.ended || it->second.incarnation > p.owner.incarnation);
     const bool leaving = p.state == phase::Releasing;
     if (reborn || (leaving && now >= p.heldUntil)) {
         if (reborn) {
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -366,8 +366,8 @@
         return beat;
     }
 
-    // A data centre that is cut off: its VMs count as dead when its digests stop, and as alive again
-    // with the first one.
+    // A data centre that is cut off: its VMs count as dead when its digests stop, and as alive
+    // again with the first one.
     void digestsKeepFarVmsAlive()
     {
         peer_book teller("vm-a0", "a");
@@ -409,7 +409,8 @@
         CPPUNIT_ASSERT(listener.all().at("vm-a1").beat.leaving);
         // A later one that says it keeps no longer is taken.
         teller.heard(beatIn("a", 1), start + seconds(1));
-        listener.heard(teller.digest(beatIn("a", 0), false, start + seconds(1)), start + seconds(1));
+        listener.heard(teller.digest(beatIn("a", 0), false, start + seconds(1)),
+                       start + seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, listener.all().at("vm-a1").beat.keeperVersion);
     }
 
@@ -437,7 +438,9 @@
     {
         return token_desk(
             "vm-0",
-            [startTokens](std::string_view) { return fleet_limit{20.0, 20.0, startTokens}; },
+            [startTokens](std::string_view) {
+                return fleet_limit{20.0, 20.0, startTokens};
+            },
             [] { return 1.0; });
     }
 
--- a/test/limits_test.cpp
+++ b/test/limits_test.cpp
@@ -76,7 +76,8 @@
         team_bank bank(10.0, 10.0, now, 10.0);
         CPPUNIT_ASSERT_EQUAL(3, bank.draw({vm_id("e"), 2, 3, 0}, authority, now).granted);
         CPPUNIT_ASSERT_EQUAL(0, bank.draw({vm_id("e"), 1, 3, 0}, authority, now).granted);
-        // The same draw again brings the same answer; the next one finds that nothing more was taken.
+        // The same draw again brings the same answer; the next one finds that nothing more was
+        // taken.
         CPPUNIT_ASSERT_EQUAL(3, bank.draw({vm_id("e"), 2, 3, 0}, authority, now).granted);
         CPPUNIT_ASSERT_EQUAL(7, bank.draw({vm_id("e"), 3, 9, 3}, authority, now).granted);
         CPPUNIT_ASSERT_EQUAL(0, bank.draw({vm_id("f"), 1, 1, 0}, now, now).granted);
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -68,8 +68,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.8"), vm.seedIps.at(0));
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{7000}, vm.peerPort);
         CPPUNIT_ASSERT(!vm.firstStart);
-        const auto first = decodeSettings(
-            "{\"bootstrap\":true," + settingsText.substr(1), "settings");
+        const auto first =
+            decodeSettings("{\"bootstrap\":true," + settingsText.substr(1), "settings");
         CPPUNIT_ASSERT(std::get<vm_environment>(first).firstStart);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, vm.bounds.teamOvershoot, 1e-9);
         CPPUNIT_ASSERT(vm.bounds.drainTime == milliseconds(2500));
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -452,8 +452,8 @@
         CPPUNIT_ASSERT(now < lastGrant + timing.hold + seconds(1));
     }
 
-    // A data centre's targets all start anew under other names while the keeper changes: it waited for
-    // the longest hold of each former life, ten seconds.
+    // A data centre's targets all start anew under other names while the keeper changes: it waited
+    // for the longest hold of each former life, ten seconds.
     void endedOwnerIsNotWaitedFor()
     {
         range_keeper keeper({}, {ownedByFirst()}, true, start);
--- a/test/support/range_world.h
+++ b/test/support/range_world.h
@@ -36,7 +36,8 @@
     std::uint64_t grantsApplied = 0;
     std::uint64_t changesOfHands = 0; ///< grants with a fence not seen at that target before
     int keepers = 0; ///< times that a VM began to keep the keys
-    double ownedAtEnd = 0.0; ///< the largest share of the keys owned at one moment of the last seconds
+    double ownedAtEnd =
+        0.0; ///< the largest share of the keys owned at one moment of the last seconds
 };
 
 /// Plays one schedule: some 40 s of faults, then 25 s of calm.
