--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -191,6 +191,13 @@
         view.mayOwn = t.leavingSince == time_point{};
         const auto life = lives.find(t.record.address);
         view.ended = !t.listed && life != lives.end() && life->second > t.record.incarnation;
+        if (view.ended && m_ended.insert(name).second) {
+            m_log.write(log_line("target ended")
+                            .add("target", name)
+                            .add("address", t.record.address)
+                            .add("incarnation", t.record.incarnation)
+                            .add("next", life->second));
+        }
         view.cold = target_book::cold(t, now);
         views[name] = view;
     }
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace damaskward {
@@ -121,6 +122,7 @@
     time_point m_limitAt{};
     bool m_limiting = false; ///< some owners are limited
     std::uint64_t m_limitVersion = 0;
+    std::set<std::string> m_ended; ///< targets whose address another has, as logged
     std::map<std::string, std::uint64_t> m_loggedFences; ///< the highest by target
     std::map<std::string, std::string, std::less<>> m_addresses; ///< of targets, also gone ones
     std::uint64_t m_updateVersion = 0;
