Holds stay inside the longest that the platform allows

Cause: the hold grows with the targets of a service (7 ms a target); above 1,170 it exceeded the longest hold of 10 s that targets accept, and the setting for it was read and not used. Change: hold and long hold are capped by the setting; the renewal pause follows. Only listed targets count.

--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -30,7 +30,7 @@
 
 keeper_seat::keeper_seat(store_port &store, std::string table, order_sender send,
                          target_book &targets, peer_book &peers, request_log &log,
-                         std::int64_t incarnation, clock_source clock,
+                         std::int64_t incarnation, milliseconds longestHold, clock_source clock,
                          std::function<void(const owner_update &)> publish,
                          std::function<void(const owner_shares &)> limit)
     : m_store(store)
@@ -40,6 +40,7 @@
     , m_peers(peers)
     , m_log(log)
     , m_incarnation(incarnation)
+    , m_longestHold(longestHold)
     , m_clock(std::move(clock))
     , m_publish(std::move(publish))
     , m_limit(std::move(limit))
@@ -160,20 +161,13 @@
     }
 }
 
-/// \returns longer holds for many targets: one VM renews them all.
-keeper_timing keeper_seat::timingFor(const service_id &service) const
+keeper_timing keeper_seat::timingOf(const service_id &service) const
 {
     std::int64_t targets = 0;
     for (const auto &[name, t] : m_targets.all()) {
-        targets += t.record.service == service ? 1 : 0;
-    }
-    // About two runs of keys a target, and 300 renewals a second, a tenth of a small VM's core.
-    constexpr milliseconds renewalPause{7};
-    keeper_timing timing;
-    const milliseconds renewAfter = std::max(timing.renewAfter, targets * renewalPause);
-    timing.hold += renewAfter - timing.renewAfter;
-    timing.renewAfter = renewAfter;
-    return timing;
+        targets += t.listed && t.record.service == service ? 1 : 0;
+    }
+    return timingFor(targets, m_longestHold);
 }
 
 owner_views keeper_seat::viewsOf(const service_id &service, time_point now)
@@ -209,8 +203,8 @@
     for (const auto &[service, objective] : m_keyed) {
         auto &keeper = m_keepers[service];
         if (!keeper) {
-            keeper = std::make_shared<range_keeper>(timingFor(service), m_row.owners[service], true,
-                                                    now);
+            keeper =
+                std::make_shared<range_keeper>(timingOf(service), m_row.owners[service], true, now);
         }
         for (const range_order &order :
              keeper->step(viewsOf(service, now), m_lease.leaseEnd(), now)) {
--- a/src/Node/keeper_seat.h
+++ b/src/Node/keeper_seat.h
@@ -43,10 +43,12 @@
     using clock_source = std::function<time_point()>;
 
     /// \param table the table of the product's own rows
+    /// \param longestHold of a grant, as the platform's operators allow
     /// \param publish called with the owners whenever they change
     /// \param limit called a few times a second while owners are asked for more than they get done
     keeper_seat(store_port &store, std::string table, order_sender send, target_book &targets,
-                peer_book &peers, request_log &log, std::int64_t incarnation, clock_source clock,
+                peer_book &peers, request_log &log, std::int64_t incarnation,
+                milliseconds longestHold, clock_source clock,
                 std::function<void(const owner_update &)> publish,
                 std::function<void(const owner_shares &)> limit);
 
@@ -80,7 +82,7 @@
     bool otherKeeperAlive(time_point now) const;
     bool shouldYield(time_point now);
     bool giveUp(const char *reason);
-    keeper_timing timingFor(const service_id &service) const;
+    keeper_timing timingOf(const service_id &service) const;
     owner_views viewsOf(const service_id &service, time_point now);
     void runKeepers(time_point now);
     void sendOrder(const range_order &order, const std::shared_ptr<range_keeper> &keeper);
@@ -105,6 +107,7 @@
     peer_book &m_peers;
     request_log &m_log;
     std::int64_t m_incarnation;
+    milliseconds m_longestHold;
     clock_source m_clock;
     std::function<void(const owner_update &)> m_publish;
     std::function<void(const owner_shares &)> m_limit;
--- a/src/Ranges/range_keeper.cpp
+++ b/src/Ranges/range_keeper.cpp
@@ -15,6 +15,20 @@
 
 } // namespace
 
+keeper_timing timingFor(std::int64_t targets, milliseconds longestHold)
+{
+    // About two runs of keys a target, and 300 renewals a second, a tenth of a small VM's core.
+    constexpr milliseconds renewalPause{7};
+    keeper_timing timing;
+    // What the next keeper has to take over in before owners lose their keys.
+    const milliseconds takeover = timing.hold - timing.renewAfter;
+    timing.longHold = std::min(timing.longHold, longestHold);
+    const milliseconds wanted = std::max(timing.hold, targets * renewalPause + takeover);
+    timing.hold = std::min(wanted, timing.longHold);
+    timing.renewAfter = std::max(timing.hold - takeover, timing.hold / 4);
+    return timing;
+}
+
 range_keeper::range_keeper(keeper_timing timing, const std::vector<range_owner> &recorded,
                            bool unsettled, time_point now)
     : m_timing(timing)
--- a/src/Ranges/range_keeper.h
+++ b/src/Ranges/range_keeper.h
@@ -73,6 +73,11 @@
     milliseconds travel{250}; ///< the longest that an order is on its way
 };
 
+/// \param targets of the service
+/// \param longestHold that the platform's operators allow
+/// \returns longer holds for many targets, as one VM renews them all, but never above the longest.
+keeper_timing timingFor(std::int64_t targets, milliseconds longestHold);
+
 /// \class range_keeper
 /// \brief Decides which target owns which keys, and keeps every key with at most one owner.
 ///
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(overloadedOwnerAnswersInTime);
     CPPUNIT_TEST(ownerBelowItsCapacityIsNotLimited);
     CPPUNIT_TEST(limitEndsWithTheOverload);
+    CPPUNIT_TEST(holdsStayInsideTheLongest);
     CPPUNIT_TEST(silentOwnerIsWaitedFor);
     CPPUNIT_TEST(endedOwnerIsNotWaitedFor);
     CPPUNIT_TEST(doubtfulGrantDelaysTheNextOwner);
@@ -452,6 +453,26 @@
         CPPUNIT_ASSERT(now < lastGrant + timing.hold + seconds(1));
     }
 
+    // 1,700 targets of one service: the hold that 300 renewals a second would need is refused by
+    // them.
+    void holdsStayInsideTheLongest()
+    {
+        const keeper_timing usual;
+        CPPUNIT_ASSERT(timingFor(20, seconds(10)).hold == usual.hold);
+        CPPUNIT_ASSERT(timingFor(20, seconds(10)).renewAfter == usual.renewAfter);
+        for (const std::int64_t targets : {1, 209, 1170, 1700, 20000}) {
+            for (const milliseconds longest :
+                 {milliseconds(1500), milliseconds(4000), milliseconds(10000)}) {
+                const keeper_timing timing = timingFor(targets, longest);
+                CPPUNIT_ASSERT(timing.hold <= longest);
+                CPPUNIT_ASSERT(timing.longHold <= longest);
+                CPPUNIT_ASSERT(timing.renewAfter < timing.hold);
+                CPPUNIT_ASSERT(timing.renewAfter.count() > 0);
+            }
+        }
+        CPPUNIT_ASSERT(timingFor(209, seconds(10)).hold > usual.hold);
+    }
+
     // A data centre's targets all start anew under other names while the keeper changes: it waited
     // for the longest hold of each former life, ten seconds.
     void endedOwnerIsNotWaitedFor()
--- a/test/support/range_world.cpp
+++ b/test/support/range_world.cpp
@@ -512,7 +512,7 @@
         store, "own",
         [this, &w](const range_order &order, const std::string &,
                    const keeper_seat::order_callback &done) { w.sendOrder(*this, order, done); },
-        targets, peers, log, 1, [this, &w] { return w.clockOf(*this); },
+        targets, peers, log, 1, seconds(10), [this, &w] { return w.clockOf(*this); },
         [](const owner_update &) {}, [](const owner_shares &) {});
     deployment config;
     config.services[service_id(serviceName)].keyed = true;
