A keeper that gives its lease up holds it no longer, whatever becomes of the answer

Found in the last read: a weak keeper that yields wrote the row without a holder and counted the lease as held until the answer came. With the answer late or lost and the strong VM gone again, it would have kept keys that another could already have claimed. The lease is lost from the moment of the write; the row's version decides. Also two comments that said something else than the code, and one version asked for twice.

--- a/src/Admission/token_desk.h
+++ b/src/Admission/token_desk.h
@@ -160,7 +160,8 @@
     }
 
 private:
-    /// A draw and its answer take a few milliseconds; one lost on the way is repeated after this.
+    /// A draw that has been sent again several times and is still unanswered is given up after
+    /// this.
     static constexpr milliseconds drawTimeout{200};
 
     struct desk_entry
--- a/src/Fleet/peer_book.h
+++ b/src/Fleet/peer_book.h
@@ -145,7 +145,7 @@
     }
 
     /// \param self this VM's own heartbeat
-    /// \param everywhere whether VMs of other data centres are told of too, for a VM that knows
+    /// \param everywhere whether VMs of other data centres are told of too: for a VM that knows
     /// none \returns the digest to send.
     peer_digest digest(const peer_beat &self, bool everywhere, time_point now) const
     {
--- a/src/Node/keeper_seat.cpp
+++ b/src/Node/keeper_seat.cpp
@@ -532,11 +532,11 @@
     m_writing = encodeRow(m_row);
     table_transaction transaction;
     transaction.replace(seatRow, m_lease.version(), m_writing);
-    m_lease.sent();
-    m_store.commit(m_table, transaction, [this](commit_answer &&) {
+    m_store.commit(m_table, transaction, [](commit_answer &&) {
         // Unanswered or not: without a renewal the lease runs out by itself.
-        m_lease.lost(m_clock());
     });
+    // From here on another VM may hold it, whatever becomes of the answer.
+    m_lease.lost(m_clock());
     drop(reason);
     return true;
 }
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -756,9 +756,7 @@
 void node::logReload(const deployment &config)
 {
     const auto &former = m_router.config();
-    m_log.write(log_line("reload")
-                    .add("version", config.version)
-                    .add("from", former ? former->version : 0));
+    m_log.write(log_line("reload").add("version", config.version).add("from", configVersion()));
     for (const auto &[name, team] : config.teams) {
         const team_settings *known = former ? former->team(name) : nullptr;
         if (!known || known->rate != team.rate || known->burst != team.burst) {
