Nodes read the store's era and tell each other

Answers of the store now carry their era to the callers of store_port, heartbeats and digests spread the newest era to VMs that the store refuses, and a rise is logged once per VM with the revision and the configuration that the VM had. No decision depends on the era yet. The suites fleet, platform and transport pass.

--- a/src/Fleet/membership.h
+++ b/src/Fleet/membership.h
@@ -27,6 +27,7 @@
     std::uint64_t mapVersion = 0; ///< version of the owner map in use
     /// Version of its coordinator lease's row, 0 if it has none.
     std::uint64_t coordinatorVersion = 0;
+    std::uint64_t storeEra = 0; ///< newest store_era that it knows
     bool isShuttingDown = false;
     bool hasSpareCpu = true; ///< for roles that serve the whole fleet
     bool knowsNoPeer = false;
@@ -61,6 +62,7 @@
     std::uint64_t mapVersion = 0; ///< owner map that the sender uses
     std::vector<digest_entry> vms;
     std::map<std::string, double> loads; ///< by service: requests per slot at its local targets
+    std::uint64_t storeEra = 0; ///< newest store_era that the sender knows
 };
 
 /// The last known state of one VM.
@@ -159,8 +161,8 @@
     /// \returns the digest to send.
     membership_digest digest(const heartbeat &self, bool includeRemote, time_point now) const
     {
-        membership_digest result{self.dataCenter, self.ip, self.configVersion,
-                                 self.mapVersion, {},      {}};
+        membership_digest result{
+            self.dataCenter, self.ip, self.configVersion, self.mapVersion, {}, {}, self.storeEra};
         result.vms.push_back(entryOf(self, 0));
         for (const auto &[name, peer] : m_peers) {
             if (isAlive(peer, now)
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -199,6 +199,7 @@
     beat.configVersion = configVersion();
     beat.mapVersion = m_owners.version;
     beat.coordinatorVersion = m_coordinatorRole.leaseVersion(now);
+    beat.storeEra = m_storeEra;
     beat.isShuttingDown = m_shuttingDown;
     beat.hasSpareCpu = m_membership.hasSpareCpu();
     for (const auto &[name, t] : m_targets.all()) {
@@ -276,6 +277,7 @@
 void node::handleDigest(const membership_digest &digest, const std::string &fromIp)
 {
     const time_point now = mono_clock::now();
+    noteStoreEra(digest.storeEra, now);
     m_membership.apply(digest, now);
     m_targets.setRemoteLoads(data_center_id(digest.dataCenter), digest.loads, now);
     const bool isFromSender = fromIp == digest.ip;
@@ -357,6 +359,7 @@
     if (beat.name == m_environment.name.str()) {
         return;
     }
+    noteStoreEra(beat.storeEra, now);
     if (m_membership.apply(beat, now)) {
         m_log.write(log_line("peer").add("name", beat.name).add("ip", fromIp));
     }
@@ -583,6 +586,22 @@
     }
 }
 
+/// Processes the store's era, as stated by the store or by another VM.
+void node::noteStoreEra(store_era era, time_point)
+{
+    if (era <= m_storeEra) {
+        return;
+    }
+    if (m_storeEra != 0) {
+        m_log.write(log_line("store restored from an older copy")
+                        .add("era", era)
+                        .add("previous", m_storeEra)
+                        .add("operatorRevision", m_operatorRevision)
+                        .add("config", configVersion()));
+    }
+    m_storeEra = era;
+}
+
 bool node::isStoreReader(time_point now) const
 {
     return m_membership.roleHolderIn(m_environment.dataCenter.str(), storeReaderRole, now)
@@ -719,6 +738,7 @@
             m_followingOperatorRows = false; // The next tick tries again.
             return;
         }
+        noteStoreEra(rows->era, now);
         m_drainedDataCenters.clear();
         applyOperatorRows(*rows);
         followOperatorRows(rows->revision);
@@ -748,6 +768,7 @@
                                     m_followingOperatorRows = false;
                                     return;
                                 }
+                                noteStoreEra(rows->era, mono_clock::now());
                                 applyOperatorRows(*rows);
                                 followOperatorRows(rows->revision);
                             });
@@ -846,6 +867,7 @@
         const auto *rows = std::get_if<row_set>(&result);
         handleStoreAnswer(rows != nullptr, mono_clock::now());
         if (rows) {
+            noteStoreEra(rows->era, mono_clock::now());
             m_targetsUpdatedAt = mono_clock::now();
             applyTargets(*rows);
         }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -100,6 +100,7 @@
     void fetchConfig(const std::string &ip);
     bool isReady() const;
     void handleStoreAnswer(bool isSuccess, time_point now);
+    void noteStoreEra(store_era era, time_point now);
     void startShutdown();
     void continueShutdown();
     void scheduleAfter(duration span, std::function<void()> action);
@@ -143,6 +144,7 @@
     time_point m_storeAnsweredAt{}; ///< last success of this VM or of its store reader
     time_point m_storeRecoveredAt{}; ///< the first successful answer after an outage
     bool m_storeUnreachable = false;
+    store_era m_storeEra = 0; ///< the newest known, 0 before the first answer
     time_point m_startedAt{};
     time_point m_readerMissingSince{}; ///< since when this VM has no store reader to follow
     time_point m_storeRetryAt{}; ///< earliest time of the next read, after failed reads
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -79,7 +79,8 @@
                 m.operatorRevision,
                 m.drainedDataCenters,
                 m.hasSpareCpu,
-                m.knowsNoPeer};
+                m.knowsNoPeer,
+                m.storeEra};
     }
     json operator()(const membership_digest &m) const
     {
@@ -88,7 +89,8 @@
             vms.push_back({vm.name, vm.dataCenter, vm.ip, vm.incarnation, vm.hasSpareCpu,
                            vm.isShuttingDown, vm.isCoordinator, vm.ageMillis});
         }
-        return {"c", m.dataCenter, m.ip, m.configVersion, m.mapVersion, std::move(vms), m.loads};
+        return {"c",          m.dataCenter,   m.ip,    m.configVersion,
+                m.mapVersion, std::move(vms), m.loads, m.storeEra};
     }
     json operator()(const registry_delta &m) const
     {
@@ -161,6 +163,7 @@
     m.drainedDataCenters = a.at(13).get<std::vector<std::string>>();
     m.hasSpareCpu = a.at(14);
     m.knowsNoPeer = a.at(15);
+    m.storeEra = a.at(16);
     return m;
 }
 
@@ -184,6 +187,7 @@
         m.vms.push_back(std::move(vm));
     }
     m.loads = a.at(6).get<std::map<std::string, double>>();
+    m.storeEra = a.at(7);
     return m;
 }
 
--- a/src/Table/store_port.h
+++ b/src/Table/store_port.h
@@ -18,6 +18,7 @@
 {
     std::vector<table_row> rows;
     table_revision revision = 0;
+    store_era era = 0; ///< the era of the answer, 0 if unknown
 };
 
 /// Why a call to the store failed.
--- a/src/Table/table.h
+++ b/src/Table/table.h
@@ -18,6 +18,10 @@
 /// The revision of a whole table; each applied transaction increments it by one.
 using table_revision = std::uint64_t;
 
+/// The number of times that the store was restored from an older copy, plus a constant. Versions
+/// and revisions are comparable only within one era.
+using store_era = std::uint64_t;
+
 /// A row as read from the table.
 struct table_row
 {
@@ -76,6 +80,7 @@
     commit_outcome outcome = commit_outcome::Unknown;
     table_revision revision = 0; ///< the revision of the write, if it was applied
     std::vector<std::string> conflicts; ///< the names of the rows whose check failed
+    store_era era = 0; ///< the era of the answer, 0 if unknown
 };
 
 /// The rows changed after a revision.
