The simulated store keeps a table of rows

The simulation of the ranges had one row whatever its name was, so it could not hold a row per era, and reads and checks by name went untested. It now keeps rows by name with versions from one counter, reads by prefix, checks every row that a transaction names, and answers with the store's era.

The suite ranges passes.

--- a/test/support/range_simulation.cpp
+++ b/test/support/range_simulation.cpp
@@ -33,6 +33,57 @@
     std::uint64_t highestFencingToken = 0;
 };
 
+/// The rows of the store, which get their versions from one counter.
+struct simulated_table
+{
+    std::map<std::string, table_row> rows;
+    row_version counter = 0;
+
+    row_version versionOf(const std::string &name) const
+    {
+        const auto it = rows.find(name);
+        return it == rows.end() ? 0 : it->second.version;
+    }
+
+    /// \returns the rows whose names start with \a prefix.
+    row_set withPrefix(const std::string &prefix) const
+    {
+        row_set result;
+        for (auto it = rows.lower_bound(prefix);
+             it != rows.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+            result.rows.push_back(it->second);
+        }
+        result.revision = counter;
+        return result;
+    }
+
+    /// Applies a transaction if its checks hold.
+    commit_answer apply(const table_transaction &transaction, bool ignoresChecks)
+    {
+        commit_answer answer;
+        for (const table_check &check : transaction.checks) {
+            if (versionOf(check.name) != check.version && !ignoresChecks) {
+                answer.conflicts.push_back(check.name);
+            }
+        }
+        if (!answer.conflicts.empty()) {
+            answer.outcome = commit_outcome::Conflict;
+            return answer;
+        }
+        ++counter;
+        for (const table_put &put : transaction.puts) {
+            if (put.value.empty()) {
+                rows.erase(put.name);
+            } else {
+                rows[put.name] = {put.name, put.value, counter, false};
+            }
+        }
+        answer.outcome = commit_outcome::Applied;
+        answer.revision = counter;
+        return answer;
+    }
+};
+
 bool overlap(key_range a, key_range b)
 {
     return a.first <= b.last && b.first <= a.last;
@@ -121,14 +172,12 @@
         }
     }
 
-    void readStore(simulated_vm &vm, const row_callback &done)
+    void readStore(simulated_vm &vm, const std::string &prefix, const row_callback &done)
     {
         const bool lost = vm.cutFromStore || m_storeDown;
-        after(between(milliseconds(2), milliseconds(10)), [this, &vm, lost, done] {
-            row_set rows;
-            if (m_rowVersion != 0) {
-                rows.rows.push_back({"keeper", m_rowValue, m_rowVersion, false});
-            }
+        after(between(milliseconds(2), milliseconds(10)), [this, &vm, lost, prefix, done] {
+            row_set rows = m_table.withPrefix(prefix);
+            rows.era = m_era;
             const duration wait = lost ? duration(milliseconds(1200)) : duration(milliseconds(1));
             after(wait, [this, &vm, lost, rows, done] {
                 onVm(vm, [lost, rows, done] {
@@ -150,16 +199,8 @@
             lost && draw() < 0.5 ? between(milliseconds(1000), milliseconds(6000)) : duration();
         after(between(milliseconds(2), milliseconds(10)) + late,
               [this, &vm, lost, transaction, done] {
-                  commit_answer answer;
-                  const bool versionMatches = transaction.checks.front().version == m_rowVersion;
-                  if (versionMatches || m_options.storeIgnoresChecks) {
-                      m_rowValue = transaction.puts.front().value;
-                      m_rowVersion = ++m_counter;
-                      answer.outcome = commit_outcome::Applied;
-                      answer.revision = m_rowVersion;
-                  } else {
-                      answer.outcome = commit_outcome::Conflict;
-                  }
+                  commit_answer answer = m_table.apply(transaction, m_options.storeIgnoresChecks);
+                  answer.era = m_era;
                   if (!lost) {
                       onVm(vm, [answer, done] { done(commit_answer(answer)); });
                   }
@@ -495,9 +536,8 @@
     std::priority_queue<event> m_events;
     std::map<std::string, simulated_target> m_targets;
     std::vector<std::unique_ptr<simulated_vm>> m_vms;
-    std::string m_rowValue;
-    row_version m_rowVersion = 0;
-    row_version m_counter = 0;
+    simulated_table m_table;
+    store_era m_era = 1;
     bool m_storeDown = false;
     double m_storeLoss = 0.0;
     range_simulation_report m_report;
@@ -509,9 +549,9 @@
     , peers(vmName)
     , log(vmName, -1)
 {
-    store.read = [this, &simulation](const std::string &, const std::string &,
+    store.read = [this, &simulation](const std::string &, const std::string &prefix,
                                      const row_callback &done) {
-        simulation.readStore(*this, done);
+        simulation.readStore(*this, prefix, done);
     };
     store.commit = [this, &simulation](const std::string &, const table_transaction &transaction,
                                        const commit_callback &done) {
