Each era of the store has a coordinator's row of its own

Cause: the next coordinator took the row of the copy for the present. The row lacked the last moves, so a target that it did not name still had its lease, and the fencing tokens and epochs of the lost time were given out again. Conditional writes compared versions that the store gives out again. The class of fault is trust in a counter across an event that turns it back.

Change: the row's name contains the era, so a write succeeds only in the era that it was meant for, and answers of another era have no effect. A coordinator that holds its lease writes its owners into the row of the new era. One whose lease expired in the outage does so if most VMs are alive and none knows a later map. Any other VM waits until all grants that the copy may lack have expired and then gives the recorded owners new fencing tokens. Epochs and tokens carry the era in their upper bits.

--- a/src/Node/coordinator_role.cpp
+++ b/src/Node/coordinator_role.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace damaskward {
 namespace {
 
@@ -17,6 +19,13 @@
 /// The lease epoch forms the upper bits of update versions, so that the updates of a new
 /// coordinator have higher versions than those of its predecessors.
 constexpr unsigned epochShift = 32;
+/// The store's era forms the upper bits of epochs and of fencing tokens, so that none is given out
+/// twice although the store has lost the last ones.
+constexpr unsigned epochEraShift = 16;
+constexpr unsigned fencingTokenEraShift = 32;
+/// A coordinator whose lease expired longer ago than this does not continue from memory. Until then
+/// the membership still lists every VM that may have replaced it.
+constexpr milliseconds maxSuspension{membership::removalTimeout / 2};
 
 command_id numberOf(const range_command &command)
 {
@@ -33,7 +42,7 @@
 coordinator_role::coordinator_role(store_port &store, std::string table, command_sender send,
                                    target_pool &targets, membership &peers, request_log &log,
                                    std::int64_t incarnation, milliseconds maxLeaseDuration,
-                                   clock_source clock,
+                                   bool firstStart, clock_source clock,
                                    std::function<void(const owner_update &)> publish,
                                    std::function<void(const owner_shares &)> limit)
     : m_store(store)
@@ -44,6 +53,7 @@
     , m_log(log)
     , m_incarnation(incarnation)
     , m_maxLeaseDuration(maxLeaseDuration)
+    , m_firstStart(firstStart)
     , m_clock(std::move(clock))
     , m_publish(std::move(publish))
     , m_publishOverload(std::move(limit))
@@ -110,6 +120,29 @@
     }
 }
 
+/// \returns the name of the coordinator's row. Without an era the row has no suffix.
+std::string coordinator_role::rowName(store_era era)
+{
+    return era == 0 ? coordinatorRow : coordinatorRow + ('/' + std::to_string(era));
+}
+
+/// \returns the era of a coordinator's row, or nothing if \a name is not the name of one.
+std::optional<store_era> coordinator_role::eraOfRow(std::string_view name)
+{
+    const std::string_view prefix = coordinatorRow;
+    if (name == prefix) {
+        return 0;
+    }
+    if (name.size() <= prefix.size() || name.substr(0, prefix.size()) != prefix
+        || name[prefix.size()] != '/') {
+        return std::nullopt;
+    }
+    store_era era = 0;
+    const char *end = name.data() + name.size();
+    const auto [parsed, error] = std::from_chars(name.data() + prefix.size() + 1, end, era);
+    return error == std::errc() && parsed == end ? std::optional(era) : std::nullopt;
+}
+
 bool coordinator_role::otherCoordinatorAlive(time_point now) const
 {
     // Three heartbeats. Kept short because changes of ownership wait for the next coordinator.
@@ -134,19 +167,24 @@
         return;
     }
     for (const auto &[name, peer] : m_membership.members()) {
-        if (peer.lastHeartbeat.coordinatorVersion != 0) {
+        if (peer.lastHeartbeat.coordinatorVersion != 0 && peer.lastHeartbeat.storeEra == m_era) {
             m_lease.onHeartbeatVersion(peer.lastHeartbeat.coordinatorVersion, peer.receivedAt);
         }
     }
     const bool wasCoordinator = !m_coordinators.empty();
     // A VM without spare CPU assumes that some VMs have it, until it has received their heartbeats.
     constexpr int assumedCandidates = 4;
-    const int rank = m_membership.hasSpareCpu()
+    int rank = m_membership.hasSpareCpu()
         ? m_membership.rankFor(coordinatorRoleName, now)
         : std::max(assumedCandidates, m_membership.rankFor(coordinatorRoleName, now));
+    if (maySuspendedResume(now)) {
+        // Leaves a coordinator that still holds its lease one delay to write its row first.
+        rank = 1;
+    }
+    const time_point leaseEnd = m_lease.leaseEnd();
     const lease_action action = m_lease.step(otherCoordinatorAlive(now), rank, now);
     if (wasCoordinator && !m_lease.isHeld(now)) {
-        stopCoordinating("lease expired");
+        suspendOrStop(leaseEnd);
     }
     switch (action) {
     case lease_action::Read:
@@ -210,8 +248,9 @@
     for (const auto &[service, objective] : m_shardedServices) {
         auto &coordinator = m_coordinators[service];
         if (!coordinator) {
-            coordinator = std::make_shared<range_coordinator>(timingOf(service),
-                                                              m_row.owners[service], true, now);
+            const bool mayBeGranted = m_claimBasis != claim_basis::ExpiredRecord;
+            coordinator = std::make_shared<range_coordinator>(
+                timingOf(service), m_row.owners[service], mayBeGranted, now);
         }
         for (const range_command &command :
              coordinator->step(viewsOf(service, now), m_lease.leaseEnd(), now)) {
@@ -316,6 +355,88 @@
                     .add("fence", command.fencingToken));
 }
 
+void coordinator_role::onStoreEra(store_era era, time_point now)
+{
+    if (era <= m_era) {
+        return;
+    }
+    const bool isRestored = m_era != 0;
+    if (!m_coordinators.empty() && !m_lease.isHeld(now)) {
+        suspendOrStop(m_lease.leaseEnd());
+    }
+    m_sawEraChange = m_sawEraChange || isRestored;
+    m_era = era;
+    m_eraKnownSince = now;
+    m_rowExists = false;
+    m_olderRows.clear();
+    m_loggedWait = false;
+    m_lease.onNewEra(now);
+    if (!m_lease.isHeld(now)) {
+        m_claiming = false;
+        m_pendingValue.clear();
+        return;
+    }
+    raiseCounters();
+    if (!m_pendingValue.empty()) {
+        m_pendingValue = encodeRow(m_row);
+    }
+    m_log.write(log_line("coordinator records owners again")
+                    .add("reason", "the store was restored from an older copy")
+                    .add("era", era)
+                    .add("epoch", m_row.epoch)
+                    .add("fence", m_row.nextFencingToken));
+}
+
+void coordinator_role::onMapVersion(std::uint64_t version)
+{
+    m_newestEpoch = std::max(m_newestEpoch, version >> epochShift);
+}
+
+/// Raises the fencing token and the epoch above all of earlier eras.
+void coordinator_role::raiseCounters()
+{
+    m_row.nextFencingToken =
+        std::max<std::uint64_t>(m_row.nextFencingToken, m_era << fencingTokenEraShift);
+    m_row.epoch = std::max<std::uint64_t>(m_row.epoch, m_era << epochEraShift);
+}
+
+/// Gives all recorded owners new fencing tokens: the record may lack later owners, whose tokens
+/// were higher.
+void coordinator_role::renewFencingTokens()
+{
+    for (auto &[service, owners] : m_row.owners) {
+        for (range_owner &owner : owners) {
+            owner.fencingToken = m_row.nextFencingToken++;
+            owner.handover.clear();
+        }
+    }
+}
+
+/// Stops coordinating after the lease has expired, and keeps the state in case the store turns out
+/// to have lost it.
+void coordinator_role::suspendOrStop(time_point leaseEnd)
+{
+    suspended_state state{m_row, m_coordinators, leaseEnd};
+    stopCoordinating("lease expired");
+    m_suspended = std::move(state);
+}
+
+/// \returns whether this VM was certainly the last coordinator of the previous era: it was until
+/// its lease expired, and most VMs are alive and have heard of no later one.
+bool coordinator_role::maySuspendedResume(time_point now) const
+{
+    constexpr double half = 0.5;
+    return m_suspended && !m_rowExists && now < m_suspended->leaseEnd + maxSuspension
+        && m_newestEpoch <= m_suspended->row.epoch && m_membership.reachableShare(now) > half;
+}
+
+/// \returns when all grants that the rows of earlier eras may lack have certainly expired.
+time_point coordinator_role::grantsExpireAt() const
+{
+    const coordinator_timing timing = timingFor(0, m_maxLeaseDuration);
+    return m_eraKnownSince + m_lease.leaseDuration() + longestGrantValidity(timing);
+}
+
 void coordinator_role::readRow(time_point)
 {
     m_lease.onCallSent();
@@ -326,26 +447,100 @@
             m_lease.onCallFailed(now);
             return;
         }
-        if (rows->rows.empty()) {
-            m_row = {};
-            m_lease.onRowRead(0, true, now);
+        onStoreEra(rows->era, now);
+        if (rows->era < m_era) {
+            m_lease.onCallObsolete(now);
             return;
         }
-        const table_row &row = rows->rows.front();
-        if (auto decoded = decodeRow(row.value)) {
+        applyRows(*rows, now);
+    });
+}
+
+/// Processes the coordinator's rows of all eras.
+void coordinator_role::applyRows(const row_set &rows, time_point now)
+{
+    const table_row *current = nullptr;
+    const table_row *predecessor = nullptr;
+    std::optional<store_era> predecessorEra;
+    m_olderRows.clear();
+    for (const table_row &row : rows.rows) {
+        const auto era = eraOfRow(row.name);
+        if (era == m_era) {
+            current = &row;
+        } else if (era && *era < m_era) {
+            m_olderRows.push_back(row.name);
+            if (!predecessorEra || *predecessorEra < *era) {
+                predecessor = &row;
+                predecessorEra = era;
+            }
+        }
+    }
+    m_rowExists = current != nullptr;
+    const table_row *row = current ? current : predecessor;
+    m_row = {};
+    if (row) {
+        if (auto decoded = decodeRow(row->value)) {
             m_row = std::move(*decoded);
         } else {
-            m_log.write(log_line("malformed row").add("row", coordinatorRow));
+            m_log.write(log_line("malformed row").add("row", row->name));
         }
-        const bool isOwnPreviousIncarnation =
-            m_row.holder == m_membership.self() && m_row.incarnation != m_incarnation;
-        m_lease.onRowRead(row.version, m_row.holder.empty() || isOwnPreviousIncarnation, now);
-    });
+    }
+    if (!current) {
+        m_lease.onRowRead(0, true, now);
+        return;
+    }
+    const bool isOwnPreviousIncarnation =
+        m_row.holder == m_membership.self() && m_row.incarnation != m_incarnation;
+    m_lease.onRowRead(current->version, m_row.holder.empty() || isOwnPreviousIncarnation, now);
+}
+
+/// \returns on what this VM may base a claim of the lease now, or nothing if it has to wait.
+std::optional<coordinator_role::claim_basis> coordinator_role::chooseBasis(time_point now)
+{
+    if (m_rowExists) {
+        return claim_basis::Record;
+    }
+    if (maySuspendedResume(now)) {
+        return claim_basis::Memory;
+    }
+    const bool isNewFleet =
+        m_firstStart && !m_sawEraChange && m_olderRows.empty() && m_newestEpoch == 0;
+    if (isNewFleet || m_era == 0) {
+        return claim_basis::Record;
+    }
+    if (now >= grantsExpireAt()) {
+        return claim_basis::ExpiredRecord;
+    }
+    if (!m_loggedWait && m_sawEraChange) {
+        m_loggedWait = true;
+        m_log.write(log_line("coordinator waits until all grants have expired")
+                        .add("reason", "the store has lost the last owners of keys")
+                        .add("era", m_era)
+                        .add("ms", toMillis(grantsExpireAt() - now)));
+    }
+    return std::nullopt;
 }
 
 void coordinator_role::claimLease(time_point now)
 {
+    const auto basis = chooseBasis(now);
+    if (!basis) {
+        return;
+    }
     m_claiming = true;
+    m_claimBasis = *basis;
+    if (m_claimBasis == claim_basis::Memory) {
+        m_row = m_suspended->row;
+        raiseCounters();
+        for (const auto &[service, coordinator] : m_suspended->coordinators) {
+            m_row.owners[service] = coordinator->prepareRecord(m_row.nextFencingToken);
+        }
+    } else {
+        raiseCounters();
+        if (m_claimBasis == claim_basis::ExpiredRecord) {
+            renewFencingTokens();
+        }
+    }
     m_row.holder = m_membership.self();
     m_row.incarnation = m_incarnation;
     ++m_row.epoch;
@@ -369,16 +564,38 @@
 void coordinator_role::writeRow(time_point now)
 {
     table_transaction transaction;
-    transaction.replace(coordinatorRow, m_lease.version(), m_pendingValue);
+    transaction.replace(rowName(m_era), m_lease.version(), m_pendingValue);
+    if (m_claiming) {
+        for (const std::string &row : m_olderRows) {
+            transaction.puts.push_back({row, {}});
+        }
+    }
     m_lease.onCallSent();
-    m_store.commit(m_table, transaction, [this, now](commit_answer &&answer) {
-        handleWriteAnswer(std::move(answer), now);
+    m_store.commit(m_table, transaction, [this, sentInEra = m_era, now](commit_answer &&answer) {
+        handleWriteAnswer(std::move(answer), sentInEra, now);
     });
 }
 
-void coordinator_role::handleWriteAnswer(commit_answer &&answer, time_point sentAt)
+/// Handles the answer to a write of the row of an era that has ended: it has no effect.
+/// \returns false if the era has not ended
+bool coordinator_role::handleObsoleteAnswer(store_era answerEra, store_era sentInEra,
+                                            time_point now)
+{
+    onStoreEra(answerEra, now);
+    if (sentInEra == m_era) {
+        return false;
+    }
+    m_lease.onCallObsolete(now);
+    return true;
+}
+
+void coordinator_role::handleWriteAnswer(commit_answer &&answer, store_era sentInEra,
+                                         time_point sentAt)
 {
     const time_point now = m_clock();
+    if (handleObsoleteAnswer(answer.era, sentInEra, now)) {
+        return;
+    }
     switch (answer.outcome) {
     case commit_outcome::Applied:
         handleApplied(answer.revision, sentAt);
@@ -414,11 +631,10 @@
     }
     m_failingSince = time_point{};
     m_leasesExtended = false;
+    m_rowExists = true;
     if (m_claiming) {
         m_claiming = false;
-        m_coordinators.clear();
-        m_publishedRevisions.clear();
-        m_log.write(log_line("coordinator started").add("epoch", m_row.epoch));
+        startCoordinating();
     }
     for (const auto &[service, coordinator] : m_coordinators) {
         coordinator->confirmRecord(now);
@@ -426,19 +642,43 @@
     tick(now);
 }
 
+void coordinator_role::startCoordinating()
+{
+    m_coordinators.clear();
+    m_publishedRevisions.clear();
+    if (m_claimBasis == claim_basis::Memory) {
+        m_coordinators = std::move(m_suspended->coordinators);
+    }
+    m_suspended.reset();
+    m_log.write(log_line("coordinator started")
+                    .add("epoch", m_row.epoch)
+                    .add("era", m_era)
+                    .add("fence", m_row.nextFencingToken)
+                    .add("basis",
+                         m_claimBasis == claim_basis::Memory       ? "memory"
+                             : m_claimBasis == claim_basis::Record ? "record"
+                                                                   : "expired record"));
+}
+
 /// Handles a row version other than expected: either an earlier attempt to write the same value was
 /// applied although its answer was lost, or another VM has written the row.
 void coordinator_role::checkConflict(time_point sentAt)
 {
-    m_store.read(m_table, coordinatorRow, [this, sentAt](row_result &&result) {
+    m_store.read(m_table, coordinatorRow, [this, sentAt, sentInEra = m_era](row_result &&result) {
         const time_point now = m_clock();
         const auto *rows = std::get_if<row_set>(&result);
+        if (handleObsoleteAnswer(rows ? rows->era : 0, sentInEra, now)) {
+            return;
+        }
         if (!rows) {
             m_lease.onCallFailed(now);
             return;
         }
-        if (!rows->rows.empty() && rows->rows.front().value == m_pendingValue) {
-            handleApplied(rows->rows.front().version, sentAt);
+        const auto row =
+            std::find_if(rows->rows.begin(), rows->rows.end(),
+                         [name = rowName(m_era)](const table_row &r) { return r.name == name; });
+        if (row != rows->rows.end() && row->value == m_pendingValue) {
+            handleApplied(row->version, sentAt);
             return;
         }
         stopCoordinating("another VM has written the coordinator's row");
@@ -546,7 +786,7 @@
     m_row.holder.clear();
     m_pendingValue = encodeRow(m_row);
     table_transaction transaction;
-    transaction.replace(coordinatorRow, m_lease.version(), m_pendingValue);
+    transaction.replace(rowName(m_era), m_lease.version(), m_pendingValue);
     m_store.commit(m_table, transaction, [](commit_answer &&) {
         // The outcome doesn't matter: without renewals the lease expires.
     });
--- a/src/Node/coordinator_role.h
+++ b/src/Node/coordinator_role.h
@@ -15,11 +15,15 @@
 #include "peer_message.h"
 #include "platform_port.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace damaskward {
 
@@ -31,6 +35,13 @@
 /// requires the version last seen and renews the lease, so a successful write proves that no other
 /// VM is the coordinator.
 ///
+/// Each era of the store has a row of its own, since a store that was restored from an older copy
+/// gives out versions again and lacks the last changes. The row of a new era is created
+/// - by the coordinator of the previous era, which still holds its lease, or
+/// - by the VM that was the last coordinator, if its lease expired while the store was unreachable
+///   and most VMs are alive and know of no later one, or
+/// - by any VM after all grants that the older rows may lack have certainly expired.
+///
 /// \code
 /// role.tick(now);
 /// \endcode
@@ -46,13 +57,15 @@
 
     /// \param table the store's table for damaskward's own rows
     /// \param maxLeaseDuration longest lease duration of a grant that the operators allow
+    /// \param firstStart whether the whole fleet starts for the first time, so that no target owns
+    /// keys
     /// \param publish called with the owners of all keys after they changed
     /// \param limit called a few times per second while some owners are overloaded, and once when
     /// none is any more
     coordinator_role(store_port &store, std::string table, command_sender send,
                      target_pool &targets, membership &peers, request_log &log,
-                     std::int64_t incarnation, milliseconds maxLeaseDuration, clock_source clock,
-                     std::function<void(const owner_update &)> publish,
+                     std::int64_t incarnation, milliseconds maxLeaseDuration, bool firstStart,
+                     clock_source clock, std::function<void(const owner_update &)> publish,
                      std::function<void(const owner_shares &)> limit);
 
     /// Applies the set of sharded services of a new configuration.
@@ -62,15 +75,22 @@
     void tick(time_point now);
     /// Records the requests for keys and the service times of targets that a VM reported.
     void recordDemand(const key_demand &demand, time_point now);
+    /// Processes the era of the store, as stated by the store or by another VM.
+    void onStoreEra(store_era era, time_point now);
+    /// Processes the version of the owner map that another VM uses.
+    void onMapVersion(std::uint64_t version);
     /// Releases the lease because this VM shuts down, so that another VM can take over immediately.
     void shutDown(time_point now);
 
     bool isCoordinator(time_point now) const { return m_lease.isHeld(now); }
-    /// \returns the row's version after the last renewal if this VM is the coordinator, else 0.
+    /// \returns the row's version after the last renewal if this VM is the coordinator, else 0. The
+    /// lowest version if the row of the present era is still to be written.
     row_version leaseVersion(time_point now) const
     {
-        return isCoordinator(now) ? m_lease.version() : 0;
+        return isCoordinator(now) ? std::max(m_lease.version(), row_version{1}) : 0;
     }
+    /// \returns the newest known era of the store, or 0.
+    store_era storeEra() const { return m_era; }
 
 private:
     /// Content of the coordinator's row.
@@ -83,8 +103,25 @@
         std::map<service_id, std::vector<range_owner>> owners;
     };
 
+    /// On what the owners of a new coordinator are based.
+    enum class claim_basis {
+        Record, ///< the row of the present era; grants of its previous holder may be in force
+        Memory, ///< what this VM granted until its lease expired
+        ExpiredRecord ///< a row of an earlier era; all grants have expired
+    };
+
+    /// The state of a coordinator whose lease expired while the store was unreachable.
+    struct suspended_state
+    {
+        coordinator_row row;
+        std::map<service_id, std::shared_ptr<range_coordinator>> coordinators;
+        time_point leaseEnd{};
+    };
+
     static std::string encodeRow(const coordinator_row &row);
     static std::optional<coordinator_row> decodeRow(const std::string &text);
+    static std::string rowName(store_era era);
+    static std::optional<store_era> eraOfRow(std::string_view name);
 
     bool otherCoordinatorAlive(time_point now) const;
     bool shouldYield(time_point now);
@@ -96,11 +133,20 @@
                      const std::shared_ptr<range_coordinator> &coordinator);
     void logCommand(const grant_command &command);
     void logCommand(const release_command &command);
+    void raiseCounters();
+    void renewFencingTokens();
+    void suspendOrStop(time_point leaseEnd);
+    bool maySuspendedResume(time_point now) const;
+    time_point grantsExpireAt() const;
     void readRow(time_point now);
+    void applyRows(const row_set &rows, time_point now);
     void claimLease(time_point now);
+    std::optional<claim_basis> chooseBasis(time_point now);
     void renewLease(time_point now);
     void writeRow(time_point now);
-    void handleWriteAnswer(commit_answer &&answer, time_point sentAt);
+    bool handleObsoleteAnswer(store_era answerEra, store_era sentInEra, time_point now);
+    void handleWriteAnswer(commit_answer &&answer, store_era sentInEra, time_point sentAt);
+    void startCoordinating();
     void handleApplied(row_version version, time_point sentAt);
     void checkConflict(time_point sentAt);
     void stopCoordinating(const char *reason);
@@ -116,13 +162,23 @@
     request_log &m_log;
     std::int64_t m_incarnation;
     milliseconds m_maxLeaseDuration;
+    bool m_firstStart;
     clock_source m_clock;
     std::function<void(const owner_update &)> m_publish;
     std::function<void(const owner_shares &)> m_publishOverload;
 
     coordinator_lease m_lease;
     std::map<service_id, milliseconds> m_shardedServices; ///< with their latency objectives
-    coordinator_row m_row; ///< as last read
+    store_era m_era = 0; ///< the era of m_row, the newest known one
+    time_point m_eraKnownSince{};
+    bool m_sawEraChange = false; ///< since this VM started
+    bool m_rowExists = false; ///< the row of m_era existed when it was last read
+    std::vector<std::string> m_olderRows; ///< rows of earlier eras, as last read
+    std::uint64_t m_newestEpoch = 0; ///< the highest epoch in the owner maps of all VMs
+    bool m_loggedWait = false; ///< of the wait for grants of an earlier era
+    std::optional<suspended_state> m_suspended;
+    claim_basis m_claimBasis = claim_basis::Record;
+    coordinator_row m_row; ///< as last read; that of an earlier era if there is none of m_era
     std::string m_pendingValue; ///< row value being written, empty if none
     time_point m_pendingSentAt{}; ///< when that value was first sent
     bool m_claiming = false;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -111,7 +111,7 @@
               sendCommand(command, address, std::move(done));
           },
           m_targets, m_membership, m_log, m_incarnation, m_environment.bounds.maxLeaseDuration,
-          [] { return mono_clock::now(); },
+          m_environment.firstStart, [] { return mono_clock::now(); },
           [this](const owner_update &update) { publishOwners(update); },
           [this](const owner_shares &shares) { publishShares(shares); })
     , m_socket(loop, m_environment.ip, m_environment.peerPort,
@@ -278,6 +278,7 @@
 {
     const time_point now = mono_clock::now();
     noteStoreEra(digest.storeEra, now);
+    m_coordinatorRole.onMapVersion(digest.mapVersion);
     m_membership.apply(digest, now);
     m_targets.setRemoteLoads(data_center_id(digest.dataCenter), digest.loads, now);
     const bool isFromSender = fromIp == digest.ip;
@@ -306,6 +307,7 @@
 void node::coordinatorTick()
 {
     m_coordinatorRole.tick(mono_clock::now());
+    noteStoreEra(m_coordinatorRole.storeEra(), mono_clock::now());
     const bool isCoordinator = m_coordinatorRole.isCoordinator(mono_clock::now());
     scheduleAfter(isCoordinator ? coordinatorInterval : heartbeatInterval,
                   [this] { coordinatorTick(); });
@@ -324,6 +326,7 @@
         handleHeartbeat(*beat, fromIp);
     } else if (const auto *update = std::get_if<owner_update>(&message)) {
         const bool isNewer = update->version > m_owners.version;
+        m_coordinatorRole.onMapVersion(update->version);
         applyOwners(*update);
         if (isNewer && isStoreReader(now)) {
             sendToDataCenter(*update);
@@ -360,6 +363,7 @@
         return;
     }
     noteStoreEra(beat.storeEra, now);
+    m_coordinatorRole.onMapVersion(beat.mapVersion);
     if (m_membership.apply(beat, now)) {
         m_log.write(log_line("peer").add("name", beat.name).add("ip", fromIp));
     }
@@ -587,8 +591,9 @@
 }
 
 /// Processes the store's era, as stated by the store or by another VM.
-void node::noteStoreEra(store_era era, time_point)
+void node::noteStoreEra(store_era era, time_point now)
 {
+    m_coordinatorRole.onStoreEra(era, now);
     if (era <= m_storeEra) {
         return;
     }
--- a/src/Ranges/coordinator_lease.h
+++ b/src/Ranges/coordinator_lease.h
@@ -111,6 +111,25 @@
         }
     }
 
+    /// Starts over with the row of a new era of the store, which does not exist yet as far as this
+    /// VM knows. A lease that is held stays held until its end: no other VM can have claimed it.
+    void onNewEra(time_point now)
+    {
+        m_seenVersion = m_isHeld ? row_version{0} : unknownVersion;
+        m_readVersion = unknownVersion;
+        m_isUnheld = false;
+        m_claimableSince = time_point{};
+        m_retryDelay = milliseconds(0);
+        m_nextCallAt = now;
+    }
+
+    /// Records that a call ended without a result, since it concerned a row of an earlier era.
+    void onCallObsolete(time_point now)
+    {
+        m_isCallPending = false;
+        m_nextCallAt = now;
+    }
+
     /// Records that a call to the store was sent. step() returns no action until the call ends.
     void onCallSent() { m_isCallPending = true; }
 
@@ -175,6 +194,8 @@
 
     bool isHeld(time_point now) const { return m_isHeld && now < m_leaseEnd; }
     time_point leaseEnd() const { return m_isHeld ? m_leaseEnd : time_point{}; }
+    /// \returns the longest time for which a VM may hold the lease without the store.
+    milliseconds leaseDuration() const { return m_timing.leaseDuration; }
     /// \returns the version of the row as last seen, or 0 if unknown.
     row_version version() const { return m_seenVersion == unknownVersion ? 0 : m_seenVersion; }
 
--- a/src/Ranges/range_coordinator.cpp
+++ b/src/Ranges/range_coordinator.cpp
@@ -75,6 +75,12 @@
     m_ranges = std::move(all);
 }
 
+milliseconds longestGrantValidity(const coordinator_timing &timing)
+{
+    const milliseconds longest = timing.outageLeaseDuration;
+    return longest + longest * maxClockSlowPercent / 100 + timing.maxTransitTime;
+}
+
 milliseconds range_coordinator::maxGrantValidity(milliseconds leaseDuration) const
 {
     return leaseDuration + leaseDuration * maxClockSlowPercent / 100 + m_timing.maxTransitTime;
--- a/src/Ranges/range_coordinator.h
+++ b/src/Ranges/range_coordinator.h
@@ -83,6 +83,9 @@
 /// \a maxLeaseDuration.
 coordinator_timing timingFor(std::int64_t targets, milliseconds maxLeaseDuration);
 
+/// \returns the longest time from the sending of a grant until it has certainly expired.
+milliseconds longestGrantValidity(const coordinator_timing &timing);
+
 /// \class range_coordinator
 /// \brief Decides which target owns which keys, and ensures that every key has at most one owner.
 ///
--- a/test/support/range_simulation.cpp
+++ b/test/support/range_simulation.cpp
@@ -145,13 +145,7 @@
     void recordEra(store_era era) { storeEra = std::max(storeEra, era); }
 
     /// Processes the era of a heartbeat or of the registry.
-    void hearEra(store_era era)
-    {
-        recordEra(era);
-        if (era != 0 && onStoreEra) {
-            onStoreEra(era);
-        }
-    }
+    void hearEra(store_era era);
 
     range_simulation &simulation;
     std::string name;
@@ -167,7 +161,6 @@
     bool wasCoordinator = false;
     store_era storeEra = 0; ///< the newest that it has heard of
     std::uint64_t mapVersion = 0; ///< of the newest owner_update that it has received
-    std::function<void(store_era)> onStoreEra; ///< called with each era of a heartbeat or registry
 };
 
 class range_simulation
@@ -344,6 +337,7 @@
                 after(milliseconds(2), [this, &to, mapVersion] {
                     onVm(to, [&to, mapVersion] {
                         to.mapVersion = std::max(to.mapVersion, mapVersion);
+                        to.role->onMapVersion(mapVersion);
                     });
                 });
             }
@@ -478,6 +472,7 @@
                     onVm(to, [this, &to, message] {
                         to.peers.apply(message, clockOf(to));
                         to.hearEra(message.storeEra);
+                        to.role->onMapVersion(message.mapVersion);
                     });
                 });
             }
@@ -914,7 +909,8 @@
                const coordinator_role::command_callback &done) {
             simulation.sendCommand(*this, command, forThisIncarnation(done));
         },
-        targets, peers, log, incarnation, seconds(10), [this] { return simulation.clockOf(*this); },
+        targets, peers, log, incarnation, seconds(10), incarnation == 1,
+        [this] { return simulation.clockOf(*this); },
         [this](const owner_update &update) { simulation.publish(*this, update.version); },
         [](const owner_shares &) {});
     deployment config;
@@ -922,6 +918,12 @@
     role->setDeployment(config);
 }
 
+void simulated_vm::hearEra(store_era era)
+{
+    recordEra(era);
+    role->onStoreEra(era, simulation.clockOf(*this));
+}
+
 void simulated_vm::restart()
 {
     role.reset();
