Treat a target as draining from its first answer that says so

What callers saw: nothing yet. The platform's targets now announce their shutdown in their answers (Server-Leaving), often before their record in the registry does. A VM that has forwarded such an answer may send the target new requests for 2 s at most; one that waits for the record may send them until the target is gone, and they are lost with it.

Cause: only the registry and drained data centres could set a target's draining state, and each record that said `ready` cleared it again.

Why this works: the announcement is kept with the target's state, apart from its record, so that records of the same incarnation cannot take it back. A later incarnation starts with a new state, and an answer to a request that was sent to an earlier incarnation is ignored. Choice, owner grace period and the coordinator's view all read that state, which is set before the answer is forwarded. The answer itself is forwarded unchanged.

--- a/src/Fleet/target_pool.cpp
+++ b/src/Fleet/target_pool.cpp
@@ -71,7 +71,7 @@
 
 void target_pool::updateDrainingSince(target_state &t, time_point now) const
 {
-    const bool isDraining = !t.isRegistered || t.record.draining
+    const bool isDraining = !t.isRegistered || t.record.draining || t.hasAnnouncedDrain
         || m_drainedDataCenters.count(t.record.dataCenter) != 0;
     if (!isDraining) {
         t.drainingSince = time_point{};
@@ -164,7 +164,7 @@
 
 bool target_pool::isUsable(const target_state &t, time_point now) const
 {
-    return t.isRegistered && !t.record.draining
+    return t.isRegistered && !t.record.draining && !t.hasAnnouncedDrain
         && m_drainedDataCenters.count(t.record.dataCenter) == 0 && now >= t.refusingUntil
         && !isUnreachable(t, now);
 }
@@ -326,6 +326,12 @@
     t.warmupEndsAt = std::max(t.warmupEndsAt, t.refusingUntil + warmupOf(t.record.service));
 }
 
+void target_pool::recordDrain(target_state &t, time_point now) const
+{
+    t.hasAnnouncedDrain = true;
+    updateDrainingSince(t, now);
+}
+
 void target_pool::recordLoadReport(target_state &t, const load_report &load, time_point now)
 {
     t.load = load;
--- a/src/Fleet/target_pool.h
+++ b/src/Fleet/target_pool.h
@@ -46,6 +46,7 @@
     target_record record;
     time_point warmupEndsAt{}; ///< end of its warm-up; before it, only the warm-up rate is sent
     time_point refusingUntil{}; ///< it refused a connection: nothing is sent before this point
+    bool hasAnnouncedDrain = false; ///< an answer said so; holds whatever its record says
     time_point drainingSince{}; ///< since then it takes no new work, but may finish what it owns
     bool isRegistered = true; ///< its record is in the newest version of the registry
     int inFlight = 0; ///< requests of this VM that it has not answered
@@ -140,6 +141,9 @@
     /// Sets the localLoads() of another data centre, whose VMs' requests this VM does not see.
     void setRemoteLoads(const data_center_id &dc, const std::map<std::string, double> &loads,
                         time_point now);
+    /// Records that \a t has announced in an answer that it is draining. The announcement holds for
+    /// the rest of its incarnation, even if its record in the registry is older and says otherwise.
+    void recordDrain(target_state &t, time_point now) const;
     /// Records a load report.
     static void recordLoadReport(target_state &t, const load_report &load, time_point now);
     /// Records the remaining warm-up time that \a t has reported.
--- a/src/Proxy/header_names.h
+++ b/src/Proxy/header_names.h
@@ -25,6 +25,7 @@
     std::string notRun; ///< in an answer: the target has not run the request
     std::string remainingWarmup; ///< in an answer: of the target, in ms
     std::string shardKey;
+    std::string draining; ///< in an answer: "1" if the target is draining
     std::string retryAfter; ///< seconds, with fractions
     std::function<std::optional<load_report>(std::string_view)> decodeLoad;
 };
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -366,6 +366,7 @@
         m_router.m_deadlines.remove(m_wakeUpId);
         m_isSending = true;
         m_target = target.record.name;
+        m_targetIncarnation = target.record.incarnation;
         m_sentAt = now;
         if (m_firstSentAt == time_point{}) {
             m_firstSentAt = now;
@@ -430,6 +431,7 @@
         if (target) {
             m_router.m_targets.recordAnswer(*target);
             applyLoadHeaders(*target, result.answer, now);
+            applyAvailabilityHeaders(*target, result.answer, now);
         }
         const unsigned status = result.answer.result_int();
         if (result.answer.count(beastView(m_router.m_names.notRun)) != 0
@@ -488,6 +490,18 @@
         }
     }
 
+    /// Applies what the target says about further requests.
+    void applyAvailabilityHeaders(target_state &target, const http_answer &answer, time_point now)
+    {
+        if (target.record.incarnation != m_targetIncarnation) {
+            return; // Another process has taken over the target's name since the request was sent.
+        }
+        if (fieldOf(answer, m_router.m_names.draining) == "1" && !target.hasAnnouncedDrain) {
+            m_router.m_targets.recordDrain(target, now);
+            m_router.m_log.write(log_line("target drains").add("target", m_target));
+        }
+    }
+
     static bool queueIsFull(const target_state &target)
     {
         return target.load.waiting >= target.record.slots;
@@ -775,6 +789,7 @@
     deadline_queue::deadline_id m_deadlineId = 0;
     deadline_queue::deadline_id m_wakeUpId = 0;
     std::string m_target; ///< the target of the last send
+    std::int64_t m_targetIncarnation = 0;
     std::set<std::string> m_tried;
     call_handle m_call;
     std::optional<http_answer> m_fallback; ///< a target's error answer, used if no retry succeeds
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -65,6 +65,8 @@
     CPPUNIT_TEST(slowTargetsGetALowerRate);
     CPPUNIT_TEST(messagesRoundTrip);
     CPPUNIT_TEST(malformedMessagesAreRejected);
+    CPPUNIT_TEST(announcedDrainOutlastsReadyRecords);
+    CPPUNIT_TEST(newIncarnationIsNotDraining);
     CPPUNIT_TEST_SUITE_END();
 
     void servicesGetTheirWeights()
@@ -685,6 +687,38 @@
             decodeMessage(bytes); // Any result is valid, but no exception and no crash.
         }
     }
+
+    // Guards against requests to a target that has announced its shutdown, after a registry record
+    // of the same incarnation that still says that it is ready.
+    void announcedDrainOutlastsReadyRecords()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a")}, start);
+        targets.recordDrain(*targets.find("a"), start);
+        CPPUNIT_ASSERT(!targets.isUsable(*targets.find("a"), start));
+        CPPUNIT_ASSERT(targets.find("a")->drainingSince == start);
+        for (int i = 1; i < 5; ++i) {
+            const time_point now = start + seconds(i);
+            targets.applyRegistry({record("a", 10 + i)}, now);
+            targets.setDrainedDataCenters({}, now);
+            CPPUNIT_ASSERT(!targets.choose(service_id("ledger"), {}, false, true, now));
+            CPPUNIT_ASSERT(targets.find("a")->drainingSince == start);
+        }
+    }
+
+    // Guards against leaving a restarted target without requests because its previous incarnation
+    // had announced its shutdown.
+    void newIncarnationIsNotDraining()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a")}, start);
+        targets.recordDrain(*targets.find("a"), start);
+        target_record restarted = record("a");
+        restarted.incarnation = 2;
+        targets.applyRegistry({restarted}, start + seconds(1));
+        CPPUNIT_ASSERT(targets.isUsable(*targets.find("a"), start + seconds(1)));
+        CPPUNIT_ASSERT(targets.find("a")->drainingSince == time_point{});
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
