Send nothing to a target before the Retry-After of its refusal

What callers saw: nothing yet. The platform's targets may now add Retry-After to a refusal (503): they want nothing from that VM for so long. A VM that sends requests in that time only collects refusals, and its callers lose the time.

Cause: the field was ignored. A request was sent again to the owner of its key after 5 ms, other requests as soon as the target was chosen again, and callers were told to return after 150 ms although every target was known to refuse.

Why this works: the end of the pause is stored with the target's state and checked where every request passes, in isUsable() and in the rule for draining owners; so it holds for first attempts, retries, probes and warm-up alike. A request whose owner is paused waits if its time and the limit for owner waits allow, and is otherwise refused at once with the rest of the pause. If all targets of a service are paused, the refusal names the shortest rest. Malformed or negative values are ignored, the longest pause is an hour, and a later incarnation starts without one. Commands of the coordinator are still sent.

--- a/src/Fleet/target_pool.cpp
+++ b/src/Fleet/target_pool.cpp
@@ -166,7 +166,7 @@
 {
     return t.isRegistered && !t.record.draining && !t.hasAnnouncedDrain
         && m_drainedDataCenters.count(t.record.dataCenter) == 0 && now >= t.refusingUntil
-        && !isUnreachable(t, now);
+        && now >= t.pausedUntil && !isUnreachable(t, now);
 }
 
 void target_pool::recordConnectionTimeout(const target_state &t, time_point now)
@@ -332,6 +332,30 @@
     updateDrainingSince(t, now);
 }
 
+void target_pool::recordPause(target_state &t, time_point until)
+{
+    t.pausedUntil = std::max(t.pausedUntil, until);
+}
+
+milliseconds target_pool::pauseLeft(const target_state &t, time_point now)
+{
+    return now < t.pausedUntil ? std::chrono::ceil<milliseconds>(t.pausedUntil - now)
+                               : milliseconds(0);
+}
+
+milliseconds target_pool::shortestPauseLeft(const service_id &service, time_point now) const
+{
+    std::optional<milliseconds> shortest;
+    for (const auto &[name, t] : m_targets) {
+        // Targets that are unusable for another reason don't count.
+        if (t.record.service == service && isUsable(t, std::max(now, t.pausedUntil))) {
+            const milliseconds left = pauseLeft(t, now);
+            shortest = shortest ? std::min(*shortest, left) : left;
+        }
+    }
+    return shortest.value_or(milliseconds(0));
+}
+
 void target_pool::recordLoadReport(target_state &t, const load_report &load, time_point now)
 {
     t.load = load;
--- a/src/Fleet/target_pool.h
+++ b/src/Fleet/target_pool.h
@@ -47,6 +47,7 @@
     time_point warmupEndsAt{}; ///< end of its warm-up; before it, only the warm-up rate is sent
     time_point refusingUntil{}; ///< it refused a connection: nothing is sent before this point
     bool hasAnnouncedDrain = false; ///< an answer said so; holds whatever its record says
+    time_point pausedUntil{}; ///< it has asked this VM for no requests before this point
     time_point drainingSince{}; ///< since then it takes no new work, but may finish what it owns
     bool isRegistered = true; ///< its record is in the newest version of the registry
     int inFlight = 0; ///< requests of this VM that it has not answered
@@ -144,6 +145,14 @@
     /// Records that \a t has announced in an answer that it is draining. The announcement holds for
     /// the rest of its incarnation, even if its record in the registry is older and says otherwise.
     void recordDrain(target_state &t, time_point now) const;
+    /// Records that \a t has asked this VM to send it no requests before \a until. The longest
+    /// pause that it has asked for applies.
+    static void recordPause(target_state &t, time_point until);
+    /// \returns the remaining pause that \a t has asked for, rounded up, or 0.
+    static milliseconds pauseLeft(const target_state &t, time_point now);
+    /// \returns the shortest remaining pause of the targets of \a service if all of those that may
+    /// otherwise get requests are paused, or 0.
+    milliseconds shortestPauseLeft(const service_id &service, time_point now) const;
     /// Records a load report.
     static void recordLoadReport(target_state &t, const load_report &load, time_point now);
     /// Records the remaining warm-up time that \a t has reported.
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -1,5 +1,7 @@
 #include "request_router.h"
 
+#include "retry_after.h"
+
 #include <boost/beast/http/verb.hpp>
 
 #include <algorithm>
@@ -288,7 +290,15 @@
             return;
         }
         if (!target || !canSendToOwner(*target, now)) {
-            waitForOwner(owner && owner->target.empty() ? owner->wait : ownerRetryDelay, now);
+            const milliseconds pause =
+                target ? target_pool::pauseLeft(*target, now) : milliseconds(0);
+            // The keys of a draining owner get another one, probably before its pause ends.
+            if (pause.count() > 0 && target->drainingSince == time_point{}) {
+                waitForOwner("owner is paused", pause, now);
+            } else {
+                waitForOwner("key without an owner",
+                             owner && owner->target.empty() ? owner->wait : ownerRetryDelay, now);
+            }
             return;
         }
         m_ownerWaitDeadline = time_point{};
@@ -303,17 +313,17 @@
         if (m_router.m_targets.isUsable(target, now)) {
             return true;
         }
-        return now >= target.refusingUntil && target.drainingSince != time_point{}
-        && now < target.drainingSince + drainGrace;
+        return now >= target.refusingUntil && now >= target.pausedUntil
+            && target.drainingSince != time_point{} && now < target.drainingSince + drainGrace;
     }
 
-    void waitForOwner(milliseconds expected, time_point now)
+    void waitForOwner(const char *reason, milliseconds expected, time_point now)
     {
         if (m_ownerWaitDeadline == time_point{}) {
             m_ownerWaitDeadline = now + maxOwnerWait;
         }
         if (now + expected + minServiceTime >= m_deadline || now + expected > m_ownerWaitDeadline) {
-            refuseUnlessRun(503, "key without an owner", std::max(expected, defaultRetryAfter));
+            refuseUnlessRun(503, reason, std::max(expected, defaultRetryAfter));
             return;
         }
         waitForChange(now + std::max(expected, ownerRetryDelay));
@@ -332,15 +342,21 @@
         if (!target) {
             if (!m_tried.empty()) {
                 m_tried.clear();
-                fail("no other target");
+                refuseUnlessRun(503, "no other target", targetsRetryAfter(defaultRetryAfter, now));
                 return;
             }
-            refuseUnlessRun(503, "no target", milliseconds(300));
+            refuseUnlessRun(503, "no target", targetsRetryAfter(milliseconds(300), now));
             return;
         }
         send(*target, now);
     }
 
+    /// \returns \a usual, or longer if all targets of the service are paused.
+    milliseconds targetsRetryAfter(milliseconds usual, time_point now) const
+    {
+        return std::max(usual, m_router.m_targets.shortestPauseLeft(m_service, now));
+    }
+
     /// Spends one token of the warm-up rate of \a target.
     /// \returns false when the request waits or was refused.
     bool spendWarmupToken(const target_state &target, time_point now)
@@ -500,6 +516,14 @@
             m_router.m_targets.recordDrain(target, now);
             m_router.m_log.write(log_line("target drains").add("target", m_target));
         }
+        if (answer.result() != http::status::service_unavailable) {
+            return;
+        }
+        if (const auto pause = parseRetryAfter(fieldOf(answer, m_router.m_names.retryAfter))) {
+            target_pool::recordPause(target, now + *pause);
+            m_router.m_log.write(
+                log_line("target pauses").add("target", m_target).add("ms", pause->count()));
+        }
     }
 
     static bool queueIsFull(const target_state &target)
@@ -527,20 +551,24 @@
         }
         logTry(misdirected ? "misdirected" : "shed", now);
         if (m_key) {
+            const milliseconds requested =
+                target && !misdirected ? target_pool::pauseLeft(*target, now) : milliseconds(0);
             if (!misdirected && target && queueIsFull(*target)) {
                 // Only the owner can run the request, and its full queue takes a while to drain.
-                refuseUnlessRun(503, "owner is full", fullQueueRetryAfter(*target));
+                refuseUnlessRun(503, "owner is full",
+                                std::max(requested, fullQueueRetryAfter(*target)));
                 return;
             }
             // The target turned the request away although its queue has room, so a retry may well
             // be accepted.
-            const milliseconds pause =
-                misdirected ? ownerRetryDelay * (1 + m_rejections) : shedRetryDelay;
+            const milliseconds pause = std::max(
+                requested, misdirected ? ownerRetryDelay * (1 + m_rejections) : shedRetryDelay);
             constexpr int maxOwnerRejections = 3;
-            if (++m_rejections > maxOwnerRejections || now + pause + minServiceTime >= m_deadline
+            if (++m_rejections > maxOwnerRejections || pause > maxOwnerWait
+                || now + pause + minServiceTime >= m_deadline
                 || !m_router.retryBudgetOf(m_service).trySpend()) {
                 refuseUnlessRun(503, misdirected ? "owner does not hold the key" : "owner is full",
-                                defaultRetryAfter);
+                                std::max(requested, defaultRetryAfter));
                 return;
             }
             waitForChange(now + pause);
@@ -549,7 +577,7 @@
         m_tried.insert(m_target);
         constexpr int maxRejections = 2;
         if (++m_rejections > maxRejections || !m_router.retryBudgetOf(m_service).trySpend()) {
-            refuseUnlessRun(503, "targets are full", defaultRetryAfter);
+            refuseUnlessRun(503, "targets are full", targetsRetryAfter(defaultRetryAfter, now));
             return;
         }
         advance();
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(malformedMessagesAreRejected);
     CPPUNIT_TEST(announcedDrainOutlastsReadyRecords);
     CPPUNIT_TEST(newIncarnationIsNotDraining);
+    CPPUNIT_TEST(pausedTargetIsNotChosen);
+    CPPUNIT_TEST(shortestPauseIsOfTargetsThatAreOtherwiseUsable);
     CPPUNIT_TEST_SUITE_END();
 
     void servicesGetTheirWeights()
@@ -719,6 +721,40 @@
         CPPUNIT_ASSERT(targets.isUsable(*targets.find("a"), start + seconds(1)));
         CPPUNIT_ASSERT(targets.find("a")->drainingSince == time_point{});
     }
+
+    // Guards against requests to a target that has asked for none, after a shorter request or a
+    // heartbeat of it, and against carrying the pause over to its next incarnation.
+    void pausedTargetIsNotChosen()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a")}, start);
+        target_pool::recordPause(*targets.find("a"), start + seconds(3));
+        target_pool::recordPause(*targets.find("a"), start + seconds(1));
+        const time_point last = start + milliseconds(2999);
+        targets.applyRegistry({record("a", 11)}, last);
+        CPPUNIT_ASSERT(!targets.choose(service_id("ledger"), {}, false, true, last));
+        CPPUNIT_ASSERT(target_pool::pauseLeft(*targets.find("a"), last) == milliseconds(1));
+        CPPUNIT_ASSERT(targets.choose(service_id("ledger"), {}, false, false, start + seconds(3)));
+        target_record restarted = record("a");
+        restarted.incarnation = 2;
+        targets.applyRegistry({restarted}, last);
+        CPPUNIT_ASSERT(targets.isUsable(*targets.find("a"), last));
+    }
+
+    void shortestPauseIsOfTargetsThatAreOtherwiseUsable()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a"), record("b"), record("c")}, start);
+        const service_id service("ledger");
+        target_pool::recordPause(*targets.find("a"), start + seconds(1));
+        target_pool::recordPause(*targets.find("b"), start + seconds(2));
+        CPPUNIT_ASSERT(targets.shortestPauseLeft(service, start) == milliseconds(0)); // c
+        target_pool::recordPause(*targets.find("c"), start + seconds(3));
+        CPPUNIT_ASSERT(targets.shortestPauseLeft(service, start) == seconds(1));
+        targets.recordDrain(*targets.find("a"), start);
+        CPPUNIT_ASSERT(targets.shortestPauseLeft(service, start) == seconds(2));
+        CPPUNIT_ASSERT(targets.shortestPauseLeft(service, start + seconds(3)) == milliseconds(0));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -1,6 +1,7 @@
 // The way of a request through the router, from a caller's connection to targets over real sockets.
 
 #include "src/Proxy/request_router.h"
+#include "src/Proxy/retry_after.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -184,12 +185,38 @@
     exchange->answer(std::move(answer));
 }
 
+/// \returns a handler that turns the first request away and asks for a pause, then answers all.
+router_fixture::target_handler pauseFirst(const std::string &retryAfter)
+{
+    return [retryAfter, paused = false](const std::shared_ptr<http_exchange> &exchange) mutable {
+        if (std::exchange(paused, true)) {
+            answerOk(exchange);
+            return;
+        }
+        http_answer answer = targetAnswer(*exchange, 503);
+        answer.set("Not-Run", "1");
+        answer.set("Retry-After", retryAfter);
+        exchange->answer(std::move(answer));
+    };
+}
+
+double retryAfterOf(const http_answer &answer)
+{
+    return std::strtod(std::string(fieldOf(answer, "Retry-After")).c_str(), nullptr);
+}
+
 class router_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(router_test);
     CPPUNIT_TEST(answerOfDrainingTargetEndsNewWork);
     CPPUNIT_TEST(drainingOwnerServesItsKeysForTheGracePeriod);
     CPPUNIT_TEST(answerOfPreviousIncarnationDrainsNothing);
+    CPPUNIT_TEST(targetThatAsksForAPauseGetsNothing);
+    CPPUNIT_TEST(pauseEndsWithItsDeadline);
+    CPPUNIT_TEST(refusalNamesTheShortestPause);
+    CPPUNIT_TEST(pausedOwnerGetsNothing);
+    CPPUNIT_TEST(requestWaitsForAShortPauseOfItsOwner);
+    CPPUNIT_TEST(malformedPausesAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against requests to a target that has announced its shutdown in an answer, while the
@@ -237,6 +264,100 @@
         CPPUNIT_ASSERT_EQUAL(200U, vm.request("plain").result_int());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, vm.arrivalCount("a"));
     }
+
+    // Guards against requests to a target that has asked for none with Retry-After.
+    void targetThatAsksForAPauseGetsNothing()
+    {
+        router_fixture vm;
+        vm.addTarget("a", "plain", pauseFirst("60"));
+        for (int i = 0; i < 10; ++i) {
+            CPPUNIT_ASSERT_EQUAL(503U, vm.request("plain").result_int());
+        }
+        vm.addTarget("b", "plain", answerOk);
+        CPPUNIT_ASSERT_EQUAL(200U, vm.request("plain").result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("b"));
+    }
+
+    // Guards against requests before the end of a pause, and against a target that gets none after
+    // it.
+    void pauseEndsWithItsDeadline()
+    {
+        router_fixture vm;
+        vm.addTarget("a", "plain", pauseFirst("0.4"));
+        CPPUNIT_ASSERT_EQUAL(503U, vm.request("plain").result_int());
+        const time_point end = vm.targets.find("a")->pausedUntil;
+        CPPUNIT_ASSERT(end >= vm.arrivals["a"][0] + milliseconds(400));
+        while (mono_clock::now() < end) {
+            const unsigned status = vm.request("plain").result_int();
+            CPPUNIT_ASSERT(status == 503U || mono_clock::now() >= end);
+            vm.runFor(milliseconds(20));
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, vm.request("plain").result_int());
+        CPPUNIT_ASSERT(vm.arrivals["a"][1] >= end);
+    }
+
+    // Guards against callers that return while all targets are still paused.
+    void refusalNamesTheShortestPause()
+    {
+        router_fixture vm;
+        vm.addTarget("a", "plain", pauseFirst("60"));
+        vm.addTarget("b", "plain", pauseFirst("20"));
+        for (int i = 0; i < 2; ++i) {
+            const http_answer answer = vm.request("plain");
+            CPPUNIT_ASSERT_EQUAL(503U, answer.result_int());
+            CPPUNIT_ASSERT(retryAfterOf(answer) > 19.0 && retryAfterOf(answer) < 31.0);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("b"));
+    }
+
+    // Guards against requests to an owner that has asked for none, and against callers that wait
+    // for a pause that outlasts their time.
+    void pausedOwnerGetsNothing()
+    {
+        router_fixture vm;
+        vm.addTarget("a", "keyed", pauseFirst("60"));
+        const time_point before = mono_clock::now();
+        for (int i = 0; i < 2; ++i) {
+            const http_answer answer = vm.request("keyed");
+            CPPUNIT_ASSERT_EQUAL(503U, answer.result_int());
+            CPPUNIT_ASSERT(retryAfterOf(answer) > 59.0);
+        }
+        CPPUNIT_ASSERT(mono_clock::now() < before + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("a"));
+        // The keys move.
+        vm.addTarget("b", "keyed", answerOk);
+        CPPUNIT_ASSERT_EQUAL(200U, vm.request("keyed").result_int());
+    }
+
+    // Guards against retries at an owner before the end of a short pause, and against refusals of
+    // requests that can be served after it.
+    void requestWaitsForAShortPauseOfItsOwner()
+    {
+        router_fixture vm;
+        vm.addTarget("a", "keyed", pauseFirst("0.2"));
+        CPPUNIT_ASSERT_EQUAL(200U, vm.request("keyed").result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, vm.arrivalCount("a"));
+        CPPUNIT_ASSERT(vm.arrivals["a"][1] >= vm.arrivals["a"][0] + milliseconds(200));
+    }
+
+    // Guards against a target that gets no requests because of a malformed Retry-After.
+    void malformedPausesAreIgnored()
+    {
+        for (const char *text : {"", "-1", "soon", "1s", "1.2.3", ".", "inf", "nan", "1e3", "0x10",
+                                 "1, 2", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !parseRetryAfter(text));
+        }
+        CPPUNIT_ASSERT(parseRetryAfter("2") == milliseconds(2000));
+        CPPUNIT_ASSERT(parseRetryAfter("0.25") == milliseconds(250));
+        CPPUNIT_ASSERT(parseRetryAfter("0.0001") == milliseconds(1));
+        CPPUNIT_ASSERT(parseRetryAfter("99999999999") == milliseconds(3600000));
+        router_fixture vm;
+        vm.addTarget("a", "plain", pauseFirst("-60"));
+        CPPUNIT_ASSERT_EQUAL(503U, vm.request("plain").result_int());
+        CPPUNIT_ASSERT_EQUAL(200U, vm.request("plain").result_int());
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(router_test, "router");
