Test that a paused owner gets nothing while it drains

The grace period of a draining owner has its own rule for sending, which the tests of the pause did not reach. With the check of the pause taken out of that rule, the new case fails: the second request reaches the owner.

--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -216,6 +216,7 @@
     CPPUNIT_TEST(refusalNamesTheShortestPause);
     CPPUNIT_TEST(pausedOwnerGetsNothing);
     CPPUNIT_TEST(requestWaitsForAShortPauseOfItsOwner);
+    CPPUNIT_TEST(pausedOwnerGetsNothingWhileItDrains);
     CPPUNIT_TEST(malformedPausesAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -342,6 +343,19 @@
         CPPUNIT_ASSERT(vm.arrivals["a"][1] >= vm.arrivals["a"][0] + milliseconds(200));
     }
 
+    // Guards against requests to a draining owner during its grace period, although it has asked
+    // for none.
+    void pausedOwnerGetsNothingWhileItDrains()
+    {
+        router_fixture vm;
+        vm.addTarget("a", "keyed", pauseFirst("60"));
+        vm.targets.recordDrain(*vm.targets.find("a"), mono_clock::now());
+        for (int i = 0; i < 2; ++i) {
+            CPPUNIT_ASSERT_EQUAL(503U, vm.request("keyed").result_int());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("a"));
+    }
+
     // Guards against a target that gets no requests because of a malformed Retry-After.
     void malformedPausesAreIgnored()
     {
