Operators' rows in a class of their own

The drained data centres and the revision of the operators' rows move from node to operator_view, where they can be tested. No change of behaviour.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -209,8 +209,8 @@
     }
     beat.readsStore = hasRecentReads(now);
     beat.registryVersion = m_registryReplica.version();
-    beat.operatorRevision = m_operatorRevision;
-    for (const data_center_id &dc : m_drainedDataCenters) {
+    beat.operatorRevision = m_operatorView.revision();
+    for (const data_center_id &dc : m_operatorView.drained()) {
         beat.drainedDataCenters.push_back(dc.str());
     }
     return beat;
@@ -596,7 +596,7 @@
         m_log.write(log_line("store restored from an older copy")
                         .add("era", era)
                         .add("previous", m_storeEra)
-                        .add("operatorRevision", m_operatorRevision)
+                        .add("operatorRevision", m_operatorView.revision())
                         .add("config", configVersion()));
     }
     m_storeEra = era;
@@ -661,12 +661,11 @@
     }
     m_storeAnsweredAt = now;
     m_storeUnreachable = false;
-    if (beat.operatorRevision > m_operatorRevision) {
-        m_operatorRevision = beat.operatorRevision;
-        m_drainedDataCenters.clear();
-        for (const std::string &dc : beat.drainedDataCenters) {
-            m_drainedDataCenters.insert(data_center_id(dc));
-        }
+    std::set<data_center_id> drained;
+    for (const std::string &dc : beat.drainedDataCenters) {
+        drained.insert(data_center_id(dc));
+    }
+    if (m_operatorView.applyReaderState(std::move(drained), beat.operatorRevision)) {
         applyDrainedDataCenters();
     }
     if (!m_registryReplica.hasVersion(beat.name, beat.registryVersion)) {
@@ -739,69 +738,68 @@
             return;
         }
         noteStoreEra(rows->era, now);
-        m_drainedDataCenters.clear();
-        applyOperatorRows(*rows);
+        m_operatorView.applyTable(processOperatorRows(*rows), rows->revision);
+        m_operatorRowsUpdatedAt = now;
+        applyDrainedDataCenters();
         followOperatorRows(rows->revision);
     });
 }
 
-void node::applyOperatorRows(const row_set &rows)
-{
-    for (const table_row &row : rows.rows) {
-        applyOperatorRow(row);
-    }
-    m_operatorRevision = std::max(m_operatorRevision, rows.revision);
-    m_operatorRowsUpdatedAt = mono_clock::now();
-    applyDrainedDataCenters();
-}
-
 void node::followOperatorRows(table_revision revision)
 {
     if (followedReader(mono_clock::now())) {
         m_followingOperatorRows = false; // Another VM is the store reader now.
         return;
     }
-    m_platform.store.follow(m_platform.operatorTable, revision, operatorPollTimeout,
-                            [this](row_result &&result) {
-                                const auto *rows = std::get_if<row_set>(&result);
-                                if (!rows) {
-                                    m_followingOperatorRows = false;
-                                    return;
-                                }
-                                noteStoreEra(rows->era, mono_clock::now());
-                                applyOperatorRows(*rows);
-                                followOperatorRows(rows->revision);
-                            });
+    m_platform.store.follow(
+        m_platform.operatorTable, revision, operatorPollTimeout, [this](row_result &&result) {
+            const time_point now = mono_clock::now();
+            const auto *rows = std::get_if<row_set>(&result);
+            if (!rows) {
+                m_followingOperatorRows = false;
+                return;
+            }
+            noteStoreEra(rows->era, now);
+            m_operatorView.applyChanges(processOperatorRows(*rows), rows->revision);
+            m_operatorRowsUpdatedAt = now;
+            applyDrainedDataCenters();
+            followOperatorRows(rows->revision);
+        });
 }
 
-void node::applyOperatorRow(const table_row &row)
+/// Applies the configuration among operators' rows.
+/// \returns the drains of data centres among them.
+std::vector<drain_change> node::processOperatorRows(const row_set &rows)
 {
-    const operator_update update = m_platform.decodeOperatorRow(row);
-    if (!update.drainedDataCenter.empty()) {
-        const data_center_id dc(update.drainedDataCenter);
-        if (row.deleted) {
-            m_drainedDataCenters.erase(dc);
+    std::vector<drain_change> drains;
+    for (const table_row &row : rows.rows) {
+        const operator_update update = m_platform.decodeOperatorRow(row);
+        if (update.config) {
+            applyConfig(update.config, row.value);
+        } else if (!update.drainedDataCenter.empty()) {
+            drains.push_back({data_center_id(update.drainedDataCenter), !row.deleted});
+            m_log.write(log_line("data center drain changed")
+                            .add("name", update.drainedDataCenter)
+                            .add("out", !row.deleted));
         } else {
-            m_drainedDataCenters.insert(dc);
-        }
-        m_log.write(
-            log_line("data center drain changed").add("name", dc.str()).add("out", !row.deleted));
-    }
-    const std::uint64_t currentVersion = configVersion();
-    if (!update.config) {
-        if (update.drainedDataCenter.empty()) {
             m_log.write(log_line("row skipped").add("row", row.name));
         }
-        return;
     }
-    if (update.config->version <= currentVersion) {
-        return; // Outdated: versions only increase.
-    }
-    logReload(*update.config);
-    m_configText = row.value;
-    m_router.setDeployment(update.config);
-    m_targets.setDeployment(*update.config);
-    m_coordinatorRole.setDeployment(*update.config);
+    return drains;
+}
+
+/// Applies a configuration, unless it is outdated.
+/// \param text its encoded form
+void node::applyConfig(std::shared_ptr<const deployment> config, const std::string &text)
+{
+    if (config->version <= configVersion()) {
+        return; // Versions only increase.
+    }
+    logReload(*config);
+    m_configText = text;
+    m_router.setDeployment(config);
+    m_targets.setDeployment(*config);
+    m_coordinatorRole.setDeployment(*config);
 }
 
 /// Logs a new configuration and the team limits that it changes.
@@ -822,7 +820,7 @@
 
 void node::applyDrainedDataCenters()
 {
-    m_targets.setDrainedDataCenters(m_drainedDataCenters, mono_clock::now());
+    m_targets.setDrainedDataCenters(m_operatorView.drained(), mono_clock::now());
 }
 
 void node::fetchConfig(const std::string &ip)
@@ -834,7 +832,7 @@
     fetchFromPeer(ip, configPath, [this](const std::string &body) {
         m_fetchingConfig = false;
         if (!body.empty()) {
-            applyOperatorRow({configPath + 1, body, 0, false});
+            processOperatorRows({{{configPath + 1, body, 0, false}}, 0, 0});
         }
     });
 }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -5,6 +5,7 @@
 
 #include "../Admission/rate_limiter.h"
 #include "../Fleet/membership.h"
+#include "../Fleet/operator_view.h"
 #include "../Fleet/target_pool.h"
 #include "../Fleet/vm_environment.h"
 #include "../Proxy/deadline_queue.h"
@@ -68,8 +69,8 @@
     void storeTick();
     void readOperatorRows();
     void followOperatorRows(table_revision after);
-    void applyOperatorRows(const row_set &rows);
-    void applyOperatorRow(const table_row &row);
+    std::vector<drain_change> processOperatorRows(const row_set &rows);
+    void applyConfig(std::shared_ptr<const deployment> config, const std::string &text);
     void logReload(const deployment &config);
     void applyDrainedDataCenters();
     void readTargets();
@@ -125,14 +126,13 @@
     http_listener m_metricsListener;
     boost::asio::signal_set m_signals;
 
-    std::set<data_center_id> m_drainedDataCenters;
+    operator_view m_operatorView;
     std::string m_configText; ///< the active configuration, in the form that peers fetch
     bool m_fetchingConfig = false;
     bool m_fetchingRegistry = false;
     registry_replica m_registryReplica;
     bool m_followingOperatorRows = false; ///< a read or long poll of them is in progress
     bool m_readingTargets = false;
-    std::uint64_t m_operatorRevision = 0;
     time_point m_targetsRequestedAt{};
     time_point m_targetsUpdatedAt{}; ///< this VM's own last successful read of the registry
     time_point m_operatorRowsUpdatedAt{}; ///< this VM's own last successful read of operator rows
