Order positions in the operators' rows by the store's era, then by revision

What callers see: after the store came back from an older copy, evacuations would not take effect at the VMs that follow a store reader.

Cause: the readers kept the greatest revision they had ever read, and the VMs that follow one took over its state only if that revision was greater. The restored store gives out revisions again, so newer state had a lower number.

Evidence: operatorRowsOfANewEraAreNewer.

A position now consists of the era and the revision. A complete read states the position itself instead of raising the known one, and heartbeats carry both numbers.

--- a/src/Fleet/membership.h
+++ b/src/Fleet/membership.h
@@ -6,6 +6,7 @@
 #include "../Core/ids.h"
 #include "../Core/time.h"
 #include "../Hashing/key_hash.h"
+#include "../Table/table_position.h"
 
 #include <algorithm>
 #include <map>
@@ -35,7 +36,7 @@
     std::map<std::string, int> inFlight; ///< its unanswered requests by target
     bool readsStore = false; ///< it is the store reader of its data centre and the store answers
     std::uint64_t registryVersion = 0; ///< version of the targets, see registry_delta
-    std::uint64_t operatorRevision = 0; ///< revision of the operators' rows that it has read
+    table_position operatorPosition; ///< position up to which it knows the operators' rows
     std::vector<std::string> drainedDataCenters; ///< data centres that operators have drained
 };
 
--- a/src/Fleet/operator_view.h
+++ b/src/Fleet/operator_view.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "../Core/ids.h"
-#include "../Table/table.h"
+#include "../Table/table_position.h"
 
 #include <algorithm>
 #include <set>
@@ -21,12 +21,12 @@
 };
 
 /// \class operator_view
-/// \brief The data centres that operators have drained, and the revision up to which this VM knows
+/// \brief The data centres that operators have drained, and the position up to which this VM knows
 /// the operators' rows: from its own reads, or from those of its store reader. Without I/O; not
 /// thread-safe.
 ///
 /// \code
-/// view.applyTable(changes, rows.revision);
+/// view.applyTable(changes, {rows.era, rows.revision});
 /// targets.setDrainedDataCenters(view.drained(), now);
 /// \endcode
 class operator_view
@@ -34,47 +34,59 @@
 public:
     /// Applies a complete read of the table.
     /// \param rows its rows about drained data centres
-    void applyTable(const std::vector<drain_change> &rows, table_revision revision)
+    void applyTable(const std::vector<drain_change> &rows, table_position position)
     {
         m_drained.clear();
-        applyChanges(rows, revision);
+        m_position = withKnownEra(position);
+        applyRows(rows);
     }
 
-    /// Applies the changes since revision().
+    /// Applies the changes since position().
     /// \param rows the changed rows about drained data centres
-    void applyChanges(const std::vector<drain_change> &rows, table_revision revision)
+    void applyChanges(const std::vector<drain_change> &rows, table_position position)
     {
-        for (const drain_change &row : rows) {
-            if (row.isDrained) {
-                m_drained.insert(row.dataCenter);
-            } else {
-                m_drained.erase(row.dataCenter);
-            }
-        }
-        m_revision = std::max(m_revision, revision);
+        m_position = std::max(m_position, withKnownEra(position));
+        applyRows(rows);
     }
 
     /// Takes over the state that the store reader states in its heartbeats.
     /// \param drained all drained data centres
     /// \returns whether it is newer than the known one.
-    bool applyReaderState(std::set<data_center_id> drained, table_revision revision)
+    bool applyReaderState(std::set<data_center_id> drained, table_position position)
     {
-        if (revision <= m_revision) {
+        if (!(m_position < position)) {
             return false;
         }
         m_drained = std::move(drained);
-        m_revision = revision;
+        m_position = position;
         return true;
     }
 
-    /// \returns the revision up to which the rows are known.
-    table_revision revision() const { return m_revision; }
+    /// \returns the position up to which the rows are known.
+    const table_position &position() const { return m_position; }
     /// \returns all drained data centres.
     const std::set<data_center_id> &drained() const { return m_drained; }
 
 private:
+    void applyRows(const std::vector<drain_change> &rows)
+    {
+        for (const drain_change &row : rows) {
+            if (row.isDrained) {
+                m_drained.insert(row.dataCenter);
+            } else {
+                m_drained.erase(row.dataCenter);
+            }
+        }
+    }
+
+    /// An answer that does not state its era is assumed to be of the known one.
+    table_position withKnownEra(table_position position) const
+    {
+        return {position.era == 0 ? m_position.era : position.era, position.revision};
+    }
+
     std::set<data_center_id> m_drained;
-    table_revision m_revision = 0;
+    table_position m_position;
 };
 
 } // namespace damaskward
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -209,7 +209,7 @@
     }
     beat.readsStore = hasRecentReads(now);
     beat.registryVersion = m_registryReplica.version();
-    beat.operatorRevision = m_operatorView.revision();
+    beat.operatorPosition = m_operatorView.position();
     for (const data_center_id &dc : m_operatorView.drained()) {
         beat.drainedDataCenters.push_back(dc.str());
     }
@@ -596,7 +596,7 @@
         m_log.write(log_line("store restored from an older copy")
                         .add("era", era)
                         .add("previous", m_storeEra)
-                        .add("operatorRevision", m_operatorView.revision())
+                        .add("operatorRevision", m_operatorView.position().revision)
                         .add("config", configVersion()));
     }
     m_storeEra = era;
@@ -665,7 +665,7 @@
     for (const std::string &dc : beat.drainedDataCenters) {
         drained.insert(data_center_id(dc));
     }
-    if (m_operatorView.applyReaderState(std::move(drained), beat.operatorRevision)) {
+    if (m_operatorView.applyReaderState(std::move(drained), beat.operatorPosition)) {
         applyDrainedDataCenters();
     }
     if (!m_registryReplica.hasVersion(beat.name, beat.registryVersion)) {
@@ -738,7 +738,7 @@
             return;
         }
         noteStoreEra(rows->era, now);
-        m_operatorView.applyTable(processOperatorRows(*rows), rows->revision);
+        m_operatorView.applyTable(processOperatorRows(*rows), {rows->era, rows->revision});
         m_operatorRowsUpdatedAt = now;
         applyDrainedDataCenters();
         followOperatorRows(rows->revision);
@@ -760,7 +760,7 @@
                 return;
             }
             noteStoreEra(rows->era, now);
-            m_operatorView.applyChanges(processOperatorRows(*rows), rows->revision);
+            m_operatorView.applyChanges(processOperatorRows(*rows), {rows->era, rows->revision});
             m_operatorRowsUpdatedAt = now;
             applyDrainedDataCenters();
             followOperatorRows(rows->revision);
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -76,11 +76,12 @@
                 m.inFlight,
                 m.readsStore,
                 m.registryVersion,
-                m.operatorRevision,
+                m.operatorPosition.revision,
                 m.drainedDataCenters,
                 m.hasSpareCpu,
                 m.knowsNoPeer,
-                m.storeEra};
+                m.storeEra,
+                m.operatorPosition.era};
     }
     json operator()(const membership_digest &m) const
     {
@@ -159,11 +160,11 @@
     m.inFlight = a.at(9).get<std::map<std::string, int>>();
     m.readsStore = a.at(10);
     m.registryVersion = a.at(11);
-    m.operatorRevision = a.at(12);
     m.drainedDataCenters = a.at(13).get<std::vector<std::string>>();
     m.hasSpareCpu = a.at(14);
     m.knowsNoPeer = a.at(15);
     m.storeEra = a.at(16);
+    m.operatorPosition = {a.at(17), a.at(12)};
     return m;
 }
 
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -3,6 +3,7 @@
 
 #include "src/Admission/rate_limiter.h"
 #include "src/Fleet/membership.h"
+#include "src/Fleet/operator_view.h"
 #include "src/Fleet/registry_replica.h"
 #include "src/Fleet/weighted_round_robin.h"
 #include "src/Node/peer_message.h"
@@ -687,7 +688,45 @@
     }
 };
 
+/// The store comes back from an older copy, with a higher era.
+class restored_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(restored_store_test);
+    CPPUNIT_TEST(operatorRowsOfANewEraAreNewer);
+    CPPUNIT_TEST_SUITE_END();
+
+    static drain_change drained(const std::string &name) { return {data_center_id(name), true}; }
+    static std::set<data_center_id> names(const std::set<std::string> &list)
+    {
+        return {list.begin(), list.end()};
+    }
+
+    // Guards against evacuations that did not take effect at the VMs that follow a store reader:
+    // revisions were compared across a restore of the store, after which they are lower.
+    void operatorRowsOfANewEraAreNewer()
+    {
+        operator_view reader;
+        operator_view follower;
+        reader.applyTable({}, {1, 500});
+        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(), reader.position()));
+        reader.applyTable({drained("far")}, {2, 420});
+        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(), reader.position()));
+        CPPUNIT_ASSERT(follower.drained() == names({"far"}));
+        // Another reader has not read the restored store yet.
+        CPPUNIT_ASSERT(!follower.applyReaderState({}, {1, 510}));
+        CPPUNIT_ASSERT(follower.drained() == names({"far"}));
+        // The state is passed on in heartbeats.
+        heartbeat beat;
+        beat.operatorPosition = reader.position();
+        const auto message = decodeMessage(encodeMessage(beat));
+        const table_position copy = std::get<heartbeat>(message.value()).operatorPosition;
+        CPPUNIT_ASSERT_EQUAL(store_era{2}, copy.era);
+        CPPUNIT_ASSERT_EQUAL(table_revision{420}, copy.revision);
+    }
+};
+
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(restored_store_test, "fleet");
 CPPUNIT_REGISTRY_ADD_TO_DEFAULT("fleet");
 
 } // namespace
