Discard changes of operators' rows that were read across a restore

What callers see: after the store came back from an older copy, configurations and evacuations could stay without effect until the next change of their row.

Cause: the feed of the operators' rows went on from the revision read last. The restored store may already have given out that revision again; it then answers with the changes after it, without those in between and without 410. A reader whose long poll hung also learned of the new era only at its time-out.

Evidence: changesAcrossARestoreAreDiscarded. With applyChanges() taking every answer, as before, it failed: the view went on at revision 502 of the new era without the row written at 450.

An answer whose era differs from that of the known position is discarded, and the table is read completely. A VM that hears of a new era from another VM reads it again too, in place of its long poll. The test passes with this check; the part in node has no test of its own.

--- a/src/Fleet/operator_view.h
+++ b/src/Fleet/operator_view.h
@@ -43,10 +43,17 @@
 
     /// Applies the changes since position().
     /// \param rows the changed rows about drained data centres
-    void applyChanges(const std::vector<drain_change> &rows, table_position position)
+    /// \returns false if the store was restored meanwhile: changes may be missing, and the table
+    /// must be read completely.
+    bool applyChanges(const std::vector<drain_change> &rows, table_position position)
     {
-        m_position = std::max(m_position, withKnownEra(position));
+        const table_position known = withKnownEra(position);
+        if (known.era != m_position.era) {
+            return false;
+        }
+        m_position = known;
         applyRows(rows);
+        return true;
     }
 
     /// Takes over the state that the store reader states in its heartbeats.
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -277,7 +277,7 @@
 void node::handleDigest(const membership_digest &digest, const std::string &fromIp)
 {
     const time_point now = mono_clock::now();
-    noteStoreEra(digest.storeEra, now);
+    notePeerEra(digest.storeEra, now);
     m_membership.apply(digest, now);
     m_targets.setRemoteLoads(data_center_id(digest.dataCenter), digest.loads, now);
     const bool isFromSender = fromIp == digest.ip;
@@ -359,7 +359,7 @@
     if (beat.name == m_environment.name.str()) {
         return;
     }
-    noteStoreEra(beat.storeEra, now);
+    notePeerEra(beat.storeEra, now);
     if (m_membership.apply(beat, now)) {
         m_log.write(log_line("peer").add("name", beat.name).add("ip", fromIp));
     }
@@ -586,7 +586,7 @@
     }
 }
 
-/// Processes the store's era, as stated by the store or by another VM.
+/// Processes the store's era.
 void node::noteStoreEra(store_era era, time_point)
 {
     if (era <= m_storeEra) {
@@ -602,6 +602,17 @@
     m_storeEra = era;
 }
 
+/// Processes the store's era as stated by another VM. This VM's own long poll may be waiting for a
+/// connection that was lost when the store was restored.
+void node::notePeerEra(store_era era, time_point now)
+{
+    const bool isRestored = m_storeEra != 0 && era > m_storeEra;
+    noteStoreEra(era, now);
+    if (isRestored && m_followingOperatorRows) {
+        readOperatorRows();
+    }
+}
+
 bool node::isStoreReader(time_point now) const
 {
     return m_membership.roleHolderIn(m_environment.dataCenter.str(), storeReaderRole, now)
@@ -726,10 +737,16 @@
     scheduleAfter(minRetryBackoff, [this] { storeTick(); });
 }
 
+/// Reads the operators' rows completely and then follows their changes, in place of a read or a
+/// long poll in progress.
 void node::readOperatorRows()
 {
     m_followingOperatorRows = true;
-    m_platform.store.read(m_platform.operatorTable, "", [this](row_result &&result) {
+    const std::uint64_t number = ++m_operatorReadNumber;
+    m_platform.store.read(m_platform.operatorTable, "", [this, number](row_result &&result) {
+        if (number != m_operatorReadNumber) {
+            return;
+        }
         const time_point now = mono_clock::now();
         const auto *rows = std::get_if<row_set>(&result);
         handleStoreAnswer(rows != nullptr, now);
@@ -751,20 +768,28 @@
         m_followingOperatorRows = false; // Another VM is the store reader now.
         return;
     }
-    m_platform.store.follow(
-        m_platform.operatorTable, revision, operatorPollTimeout, [this](row_result &&result) {
-            const time_point now = mono_clock::now();
-            const auto *rows = std::get_if<row_set>(&result);
-            if (!rows) {
-                m_followingOperatorRows = false;
-                return;
-            }
-            noteStoreEra(rows->era, now);
-            m_operatorView.applyChanges(processOperatorRows(*rows), {rows->era, rows->revision});
-            m_operatorRowsUpdatedAt = now;
-            applyDrainedDataCenters();
-            followOperatorRows(rows->revision);
-        });
+    const std::uint64_t number = m_operatorReadNumber;
+    m_platform.store.follow(m_platform.operatorTable, revision, operatorPollTimeout,
+                            [this, number](row_result &&result) {
+                                if (number != m_operatorReadNumber) {
+                                    return;
+                                }
+                                const time_point now = mono_clock::now();
+                                const auto *rows = std::get_if<row_set>(&result);
+                                if (!rows) {
+                                    m_followingOperatorRows = false;
+                                    return;
+                                }
+                                noteStoreEra(rows->era, now);
+                                if (!m_operatorView.applyChanges(processOperatorRows(*rows),
+                                                                 {rows->era, rows->revision})) {
+                                    readOperatorRows();
+                                    return;
+                                }
+                                m_operatorRowsUpdatedAt = now;
+                                applyDrainedDataCenters();
+                                followOperatorRows(rows->revision);
+                            });
 }
 
 /// Applies the configuration among operators' rows.
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -102,6 +102,7 @@
     bool isReady() const;
     void handleStoreAnswer(bool isSuccess, time_point now);
     void noteStoreEra(store_era era, time_point now);
+    void notePeerEra(store_era era, time_point now);
     void startShutdown();
     void continueShutdown();
     void scheduleAfter(duration span, std::function<void()> action);
@@ -132,6 +133,7 @@
     bool m_fetchingRegistry = false;
     registry_replica m_registryReplica;
     bool m_followingOperatorRows = false; ///< a read or long poll of them is in progress
+    std::uint64_t m_operatorReadNumber = 0; ///< answers to earlier reads and polls are ignored
     bool m_readingTargets = false;
     time_point m_targetsRequestedAt{};
     time_point m_targetsUpdatedAt{}; ///< this VM's own last successful read of the registry
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -693,6 +693,7 @@
 {
     CPPUNIT_TEST_SUITE(restored_store_test);
     CPPUNIT_TEST(operatorRowsOfANewEraAreNewer);
+    CPPUNIT_TEST(changesAcrossARestoreAreDiscarded);
     CPPUNIT_TEST_SUITE_END();
 
     static drain_change drained(const std::string &name) { return {data_center_id(name), true}; }
@@ -723,6 +724,24 @@
         CPPUNIT_ASSERT_EQUAL(store_era{2}, copy.era);
         CPPUNIT_ASSERT_EQUAL(table_revision{420}, copy.revision);
     }
+
+    // Guards against configurations and evacuations that were not applied until the next change of
+    // a row: the feed went on from a revision that the restored store had given out again.
+    void changesAcrossARestoreAreDiscarded()
+    {
+        operator_view view;
+        view.applyTable({}, {1, 500});
+        CPPUNIT_ASSERT(view.applyChanges({}, {1, 501}));
+        // The row written at revision 450 is missing, because the feed starts at 501.
+        CPPUNIT_ASSERT(!view.applyChanges({drained("far")}, {2, 502}));
+        CPPUNIT_ASSERT_EQUAL(store_era{1}, view.position().era);
+        CPPUNIT_ASSERT(view.drained().empty());
+        view.applyTable({drained("near"), drained("far")}, {2, 502});
+        CPPUNIT_ASSERT(view.applyChanges({{data_center_id("far"), false}}, {2, 503}));
+        CPPUNIT_ASSERT(view.drained() == names({"near"}));
+        CPPUNIT_ASSERT(view.applyChanges({}, {0, 504})); // The answer does not state its era.
+        CPPUNIT_ASSERT_EQUAL(store_era{2}, view.position().era);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
