Remember drained data centres while a restored store lacks their rows

What callers see: requests reach a data centre that operators have drained, for as long as the restored store does not have the row of the drain.

Cause: a complete read replaced the drained data centres, also that of a copy from before the drain. VMs that follow a store reader took over its empty list.

Evidence: drainedDataCentersAreRemembered and followersRememberDrainedDataCenters.

For two seconds after a VM learns of a new era, the data centres that it had as drained stay so beside those that the rows state; a new drain acts at once. The deadline is stored and looked at with every heartbeat. Readers state the drained data centres including the remembered ones, for VMs that have just started, and the others take over their state at an equal position too, so that the end of the memory reaches them without a change of a row.

--- a/src/Fleet/operator_view.h
+++ b/src/Fleet/operator_view.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "../Core/ids.h"
+#include "../Core/time.h"
 #include "../Table/table_position.h"
 
 #include <algorithm>
@@ -27,11 +28,22 @@
 ///
 /// \code
 /// view.applyTable(changes, {rows.era, rows.revision});
-/// targets.setDrainedDataCenters(view.drained(), now);
+/// targets.setDrainedDataCenters(view.drained(now), now);
 /// \endcode
 class operator_view
 {
 public:
+    /// How long operators may need to write again what the store has lost.
+    static constexpr milliseconds recoveryTime{2000};
+
+    /// Records that the store was restored from an older copy. Data centres that were drained
+    /// remain so for recoveryTime, because their rows may be lost.
+    void noteRestored(time_point now)
+    {
+        m_remembered = drained(now);
+        m_rememberedUntil = now + recoveryTime;
+    }
+
     /// Applies a complete read of the table.
     /// \param rows its rows about drained data centres
     void applyTable(const std::vector<drain_change> &rows, table_position position)
@@ -57,11 +69,11 @@
     }
 
     /// Takes over the state that the store reader states in its heartbeats.
-    /// \param drained all drained data centres
-    /// \returns whether it is newer than the known one.
+    /// \param drained all data centres that it treats as drained
+    /// \returns whether it was applied, which it is unless it is older than the known one.
     bool applyReaderState(std::set<data_center_id> drained, table_position position)
     {
-        if (!(m_position < position)) {
+        if (position < m_position) {
             return false;
         }
         m_drained = std::move(drained);
@@ -71,8 +83,15 @@
 
     /// \returns the position up to which the rows are known.
     const table_position &position() const { return m_position; }
-    /// \returns all drained data centres.
-    const std::set<data_center_id> &drained() const { return m_drained; }
+    /// \returns all data centres to be treated as drained.
+    std::set<data_center_id> drained(time_point now) const
+    {
+        std::set<data_center_id> result = m_drained;
+        if (now < m_rememberedUntil) {
+            result.insert(m_remembered.begin(), m_remembered.end());
+        }
+        return result;
+    }
 
 private:
     void applyRows(const std::vector<drain_change> &rows)
@@ -92,8 +111,10 @@
         return {position.era == 0 ? m_position.era : position.era, position.revision};
     }
 
-    std::set<data_center_id> m_drained;
+    std::set<data_center_id> m_drained; ///< as stated by the rows at m_position
     table_position m_position;
+    std::set<data_center_id> m_remembered; ///< drained before the store was restored
+    time_point m_rememberedUntil{};
 };
 
 } // namespace damaskward
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -171,6 +171,7 @@
     const time_point now = mono_clock::now();
     m_membership.expire(now);
     updateInFlightElsewhere(now);
+    applyDrainedDataCenters(now); // Those remembered from before a restore end with time.
     constexpr int heartbeatsPerLimitUpdate = 5;
     if (m_heartbeatCount % heartbeatsPerLimitUpdate == 0) {
         updateLimits(now);
@@ -210,7 +211,7 @@
     beat.readsStore = hasRecentReads(now);
     beat.registryVersion = m_registryReplica.version();
     beat.operatorPosition = m_operatorView.position();
-    for (const data_center_id &dc : m_operatorView.drained()) {
+    for (const data_center_id &dc : m_operatorView.drained(now)) {
         beat.drainedDataCenters.push_back(dc.str());
     }
     return beat;
@@ -587,7 +588,7 @@
 }
 
 /// Processes the store's era.
-void node::noteStoreEra(store_era era, time_point)
+void node::noteStoreEra(store_era era, time_point now)
 {
     if (era <= m_storeEra) {
         return;
@@ -598,6 +599,7 @@
                         .add("previous", m_storeEra)
                         .add("operatorRevision", m_operatorView.position().revision)
                         .add("config", configVersion()));
+        m_operatorView.noteRestored(now);
     }
     m_storeEra = era;
 }
@@ -677,7 +679,7 @@
         drained.insert(data_center_id(dc));
     }
     if (m_operatorView.applyReaderState(std::move(drained), beat.operatorPosition)) {
-        applyDrainedDataCenters();
+        applyDrainedDataCenters(now);
     }
     if (!m_registryReplica.hasVersion(beat.name, beat.registryVersion)) {
         fetchRegistry(beat.ip);
@@ -757,7 +759,7 @@
         noteStoreEra(rows->era, now);
         m_operatorView.applyTable(processOperatorRows(*rows), {rows->era, rows->revision});
         m_operatorRowsUpdatedAt = now;
-        applyDrainedDataCenters();
+        applyDrainedDataCenters(now);
         followOperatorRows(rows->revision);
     });
 }
@@ -787,7 +789,7 @@
                                     return;
                                 }
                                 m_operatorRowsUpdatedAt = now;
-                                applyDrainedDataCenters();
+                                applyDrainedDataCenters(now);
                                 followOperatorRows(rows->revision);
                             });
 }
@@ -843,9 +845,9 @@
     }
 }
 
-void node::applyDrainedDataCenters()
+void node::applyDrainedDataCenters(time_point now)
 {
-    m_targets.setDrainedDataCenters(m_operatorView.drained(), mono_clock::now());
+    m_targets.setDrainedDataCenters(m_operatorView.drained(now), now);
 }
 
 void node::fetchConfig(const std::string &ip)
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -72,7 +72,7 @@
     std::vector<drain_change> processOperatorRows(const row_set &rows);
     void applyConfig(std::shared_ptr<const deployment> config, const std::string &text);
     void logReload(const deployment &config);
-    void applyDrainedDataCenters();
+    void applyDrainedDataCenters(time_point now);
     void readTargets();
     void fetchFromPeer(const std::string &ip, const std::string &path,
                        std::function<void(const std::string &body)> done);
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -694,6 +694,8 @@
     CPPUNIT_TEST_SUITE(restored_store_test);
     CPPUNIT_TEST(operatorRowsOfANewEraAreNewer);
     CPPUNIT_TEST(changesAcrossARestoreAreDiscarded);
+    CPPUNIT_TEST(drainedDataCentersAreRemembered);
+    CPPUNIT_TEST(followersRememberDrainedDataCenters);
     CPPUNIT_TEST_SUITE_END();
 
     static drain_change drained(const std::string &name) { return {data_center_id(name), true}; }
@@ -709,13 +711,13 @@
         operator_view reader;
         operator_view follower;
         reader.applyTable({}, {1, 500});
-        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(), reader.position()));
+        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(start), reader.position()));
         reader.applyTable({drained("far")}, {2, 420});
-        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(), reader.position()));
-        CPPUNIT_ASSERT(follower.drained() == names({"far"}));
+        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(start), reader.position()));
+        CPPUNIT_ASSERT(follower.drained(start) == names({"far"}));
         // Another reader has not read the restored store yet.
         CPPUNIT_ASSERT(!follower.applyReaderState({}, {1, 510}));
-        CPPUNIT_ASSERT(follower.drained() == names({"far"}));
+        CPPUNIT_ASSERT(follower.drained(start) == names({"far"}));
         // The state is passed on in heartbeats.
         heartbeat beat;
         beat.operatorPosition = reader.position();
@@ -735,13 +737,56 @@
         // The row written at revision 450 is missing, because the feed starts at 501.
         CPPUNIT_ASSERT(!view.applyChanges({drained("far")}, {2, 502}));
         CPPUNIT_ASSERT_EQUAL(store_era{1}, view.position().era);
-        CPPUNIT_ASSERT(view.drained().empty());
+        CPPUNIT_ASSERT(view.drained(start).empty());
         view.applyTable({drained("near"), drained("far")}, {2, 502});
         CPPUNIT_ASSERT(view.applyChanges({{data_center_id("far"), false}}, {2, 503}));
-        CPPUNIT_ASSERT(view.drained() == names({"near"}));
+        CPPUNIT_ASSERT(view.drained(start) == names({"near"}));
         CPPUNIT_ASSERT(view.applyChanges({}, {0, 504})); // The answer does not state its era.
         CPPUNIT_ASSERT_EQUAL(store_era{2}, view.position().era);
     }
+
+    // Guards against requests to a drained data centre, whose row the copy does not have and the
+    // operator has not written again yet.
+    void drainedDataCentersAreRemembered()
+    {
+        operator_view view;
+        view.applyTable({drained("far")}, {1, 500});
+        view.noteRestored(start);
+        view.applyTable({}, {2, 420});
+        CPPUNIT_ASSERT(view.drained(start) == names({"far"}));
+        // A new drain acts at once.
+        CPPUNIT_ASSERT(view.applyChanges({drained("near")}, {2, 421}));
+        const time_point end = start + operator_view::recoveryTime;
+        CPPUNIT_ASSERT(view.drained(end - milliseconds(1)) == names({"far", "near"}));
+        CPPUNIT_ASSERT(view.drained(end) == names({"near"}));
+        CPPUNIT_ASSERT(view.applyChanges({drained("far")}, {2, 422}));
+        CPPUNIT_ASSERT(view.drained(end) == names({"far", "near"}));
+    }
+
+    // Guards against the same at VMs that follow a store reader, also one that has just started.
+    void followersRememberDrainedDataCenters()
+    {
+        operator_view reader;
+        operator_view follower;
+        operator_view newFollower;
+        reader.applyTable({drained("far")}, {1, 500});
+        follower.applyReaderState(reader.drained(start), reader.position());
+        follower.noteRestored(start);
+        operator_view newReader;
+        newReader.applyTable({}, {2, 420});
+        follower.applyReaderState(newReader.drained(start), newReader.position());
+        CPPUNIT_ASSERT(follower.drained(start) == names({"far"}));
+        reader.noteRestored(start);
+        reader.applyTable({}, {2, 420});
+        newFollower.applyReaderState(reader.drained(start), reader.position());
+        CPPUNIT_ASSERT(newFollower.drained(start) == names({"far"}));
+        // The operator has taken the drain back: it ends everywhere.
+        const time_point end = start + operator_view::recoveryTime;
+        follower.applyReaderState(reader.drained(end), reader.position());
+        newFollower.applyReaderState(reader.drained(end), reader.position());
+        CPPUNIT_ASSERT(follower.drained(end).empty());
+        CPPUNIT_ASSERT(newFollower.drained(end).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
