Ignore registry records that are older than what is known of their targets

What callers see: after the store came back from an older copy, requests reach targets that are draining or have left, because the copy has them as ready.

Cause: a record of the known incarnation replaced the known one whatever its heartbeat counter was, and an unregistered target was registered again by any record. A VM that becomes the store reader could not even tell: a new heartbeat is no change, so it knew the counter of the last change only.

Evidence: drainingTargetsStayDraining, readersIgnoreOutdatedRecords and newReadersIgnoreOutdatedRecords.

A store reader now leaves out outdated records before it publishes and applies a read: the incarnation and the heartbeat counter order the records of a target, and a removed target needs a newer one. Within an incarnation a draining target never stops draining. Removals carry the last heartbeat counter to the VMs that follow, which trust the records of their reader.

--- a/src/Fleet/registry_replica.h
+++ b/src/Fleet/registry_replica.h
@@ -19,7 +19,7 @@
     std::uint64_t base = 0; ///< the version it applies to; 0 for a complete version
     std::uint64_t version = 0;
     std::vector<target_record> changed;
-    std::vector<std::string> removed;
+    std::vector<removed_target> removed;
 };
 
 /// \class registry_replica
@@ -64,7 +64,7 @@
         }
         for (const auto &[name, record] : m_records) {
             if (now.count(name) == 0) {
-                delta.removed.push_back(name);
+                delta.removed.push_back({name, record.incarnation, record.heartbeatCounter});
             }
         }
         m_records = std::move(now);
@@ -91,8 +91,8 @@
         for (const target_record &record : delta.changed) {
             m_records[record.name] = record;
         }
-        for (const std::string &name : delta.removed) {
-            m_records.erase(name);
+        for (const removed_target &target : delta.removed) {
+            m_records.erase(target.name);
         }
         m_reader = delta.reader;
         m_version = delta.version;
--- a/src/Fleet/target_pool.cpp
+++ b/src/Fleet/target_pool.cpp
@@ -130,8 +130,12 @@
     if (record.incarnation < known->record.incarnation) {
         return; // A late record of a previous incarnation.
     }
-    const bool isNewer = record.heartbeatCounter > known->record.heartbeatCounter;
+    const std::int64_t knownCounter = known->record.heartbeatCounter;
+    const bool isNewer = record.heartbeatCounter > knownCounter;
+    const bool wasDraining = known->record.draining;
     known->record = record;
+    known->record.heartbeatCounter = std::max(record.heartbeatCounter, knownCounter);
+    known->record.draining = record.draining || wasDraining; // Its process ends draining.
     known->isRegistered = true;
     if (isNewer || record.warmupLeft.count() > 0) {
         known->warmupEndsAt = now + record.warmupLeft;
@@ -142,9 +146,13 @@
     updateDrainingSince(*known, now);
 }
 
-void target_pool::remove(std::string_view name, time_point now)
+void target_pool::remove(const removed_target &target, time_point now)
 {
-    if (target_state *known = find(name)) {
+    if (target_state *known = find(target.name)) {
+        if (known->record.incarnation == target.incarnation) {
+            known->record.heartbeatCounter =
+                std::max(known->record.heartbeatCounter, target.heartbeatCounter);
+        }
         known->isRegistered = false;
         updateDrainingSince(*known, now);
     }
--- a/src/Fleet/target_pool.h
+++ b/src/Fleet/target_pool.h
@@ -31,6 +31,14 @@
     milliseconds warmupLeft{0}; ///< remaining warm-up time when it wrote the record
 };
 
+/// A target whose record was removed from the registry, and its last heartbeat.
+struct removed_target
+{
+    std::string name;
+    std::int64_t incarnation = 0;
+    std::int64_t heartbeatCounter = 0;
+};
+
 /// The load that a target reports in an answer.
 struct load_report
 {
@@ -87,7 +95,7 @@
     /// Applies one record of the registry.
     void applyRecord(const target_record &record, time_point now);
     /// Marks a target as unregistered, after its record has been removed from the registry.
-    void remove(std::string_view name, time_point now);
+    void remove(const removed_target &target, time_point now);
 
     /// \returns the target named \a name, or null.
     target_state *find(std::string_view name);
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -704,8 +704,8 @@
     for (const target_record &record : delta.changed) {
         m_targets.applyRecord(record, now);
     }
-    for (const std::string &name : delta.removed) {
-        m_targets.remove(name, now);
+    for (const removed_target &target : delta.removed) {
+        m_targets.remove(target, now);
     }
 }
 
@@ -910,6 +910,7 @@
             m_log.write(log_line("row skipped").add("row", row.name));
         }
     }
+    records = withoutOutdated(records, m_targets);
     // Must precede the addition of remembered records below, which may be outdated.
     const auto delta = m_registryReplica.applyRecords(records);
     if (delta && delta->base != 0) {
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -6,6 +6,7 @@
 #include "../Admission/rate_limiter.h"
 #include "../Fleet/membership.h"
 #include "../Fleet/operator_view.h"
+#include "../Fleet/registry_filter.h"
 #include "../Fleet/target_pool.h"
 #include "../Fleet/vm_environment.h"
 #include "../Proxy/deadline_queue.h"
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -101,7 +101,11 @@
                                r.address, r.slots, r.draining, r.heartbeatCounter,
                                r.warmupLeft.count()});
         }
-        return {"r", m.reader, m.base, m.version, std::move(changed), m.removed};
+        json removed = json::array();
+        for (const removed_target &t : m.removed) {
+            removed.push_back({t.name, t.incarnation, t.heartbeatCounter});
+        }
+        return {"r", m.reader, m.base, m.version, std::move(changed), std::move(removed)};
     }
     json operator()(const owner_update &m) const
     {
@@ -211,7 +215,9 @@
         r.warmupLeft = milliseconds(item.at(8).get<std::int64_t>());
         m.changed.push_back(std::move(r));
     }
-    m.removed = a.at(5).get<std::vector<std::string>>();
+    for (const json &item : a.at(5)) {
+        m.removed.push_back({item.at(0), item.at(1), item.at(2)});
+    }
     return m;
 }
 
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include "src/Admission/rate_limiter.h"
 #include "src/Fleet/membership.h"
 #include "src/Fleet/operator_view.h"
+#include "src/Fleet/registry_filter.h"
 #include "src/Fleet/registry_replica.h"
 #include "src/Fleet/weighted_round_robin.h"
 #include "src/Node/peer_message.h"
@@ -656,8 +657,11 @@
         delta.reader = "vm-1";
         delta.version = 4;
         delta.changed = {record("a")};
-        delta.removed = {"b"};
+        delta.removed = {{"b", 7, 30}};
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:1"), roundTrip(delta).changed[0].address);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), roundTrip(delta).removed.at(0).name);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, roundTrip(delta).removed.at(0).incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{30}, roundTrip(delta).removed.at(0).heartbeatCounter);
 
         key_demand demand;
         demand.keys[service_id("s")] = {1, 65535};
@@ -696,6 +700,9 @@
     CPPUNIT_TEST(changesAcrossARestoreAreDiscarded);
     CPPUNIT_TEST(drainedDataCentersAreRemembered);
     CPPUNIT_TEST(followersRememberDrainedDataCenters);
+    CPPUNIT_TEST(drainingTargetsStayDraining);
+    CPPUNIT_TEST(readersIgnoreOutdatedRecords);
+    CPPUNIT_TEST(newReadersIgnoreOutdatedRecords);
     CPPUNIT_TEST_SUITE_END();
 
     static drain_change drained(const std::string &name) { return {data_center_id(name), true}; }
@@ -787,6 +794,75 @@
         CPPUNIT_ASSERT(follower.drained(end).empty());
         CPPUNIT_ASSERT(newFollower.drained(end).empty());
     }
+
+    static target_record drainingRecord(const std::string &name, std::int64_t heartbeatCounter)
+    {
+        target_record r = record(name, heartbeatCounter);
+        r.draining = true;
+        return r;
+    }
+
+    // Guards against requests to a draining target whose older record the restored store contains.
+    void drainingTargetsStayDraining()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a", 50), record("b", 50)}, start);
+        targets.applyRegistry({drainingRecord("a", 51), record("b", 51)}, start);
+        targets.applyRegistry({record("a", 45), record("b", 45)}, start + seconds(1));
+        CPPUNIT_ASSERT(!targets.isUsable(*targets.find("a"), start + seconds(1)));
+        CPPUNIT_ASSERT(targets.isUsable(*targets.find("b"), start + seconds(1)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{51}, targets.find("a")->record.heartbeatCounter);
+        CPPUNIT_ASSERT(targets.find("a")->drainingSince == start);
+        target_record restarted = record("a", 1);
+        restarted.incarnation = 2;
+        targets.applyRecord(restarted, start + seconds(2));
+        CPPUNIT_ASSERT(targets.isUsable(*targets.find("a"), start + seconds(2)));
+    }
+
+    static std::set<std::string> namesOf(const std::vector<target_record> &records)
+    {
+        std::set<std::string> result;
+        for (const target_record &r : records) {
+            result.insert(r.name);
+        }
+        return result;
+    }
+
+    // Guards against requests to targets that have left, whose records the restored store contains.
+    void readersIgnoreOutdatedRecords()
+    {
+        target_pool targets(data_center_id("near"));
+        target_record next = record("c", 5);
+        next.incarnation = 2;
+        targets.applyRegistry({record("a", 50), record("b", 50), next}, start);
+        targets.applyRegistry({drainingRecord("a", 51), next}, start);
+        const auto read = withoutOutdated(
+            {record("a", 45), record("b", 50), record("c", 60), record("d", 8)}, targets);
+        CPPUNIT_ASSERT(namesOf(read) == std::set<std::string>({"a", "c", "d"}));
+        CPPUNIT_ASSERT(read[0].draining);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, read[1].incarnation);
+        // A new heartbeat shows that the target is alive.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, withoutOutdated({record("b", 51)}, targets).size());
+        next = record("b", 1);
+        next.incarnation = 2;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, withoutOutdated({next}, targets).size());
+    }
+
+    // Guards against the same at a VM that becomes the store reader: from its previous reader it
+    // knew only the heartbeat counter of the last change.
+    void newReadersIgnoreOutdatedRecords()
+    {
+        registry_replica reader("r", 100);
+        target_pool targets(data_center_id("near"));
+        reader.applyRecords({record("a", 10)});
+        targets.applyRegistry(reader.records(), start);
+        CPPUNIT_ASSERT(!reader.applyRecords({record("a", 50)}));
+        const registry_delta delta = reader.applyRecords({}).value();
+        targets.remove(delta.removed.at(0), start);
+        CPPUNIT_ASSERT(!targets.isUsable(*targets.find("a"), start));
+        CPPUNIT_ASSERT(withoutOutdated({record("a", 45)}, targets).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, withoutOutdated({record("a", 51)}, targets).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
