Keep records in use that a restored store lacks

What callers would see: targets that registered after the moment of the copy get no requests until they have written their records again.

Cause: known records stayed in use for two seconds only after an outage that a VM had noticed, which takes two seconds itself. A store that comes back from an older copy sooner lacks records too, and a reader even published their removal.

The same two seconds now follow a new era of the store. Until a read after them, a reader does not publish changes and does not announce that it reads, as after an outage; the VMs that followed it keep what they know, and start to read one after the other. The end of the time is stored instead of its start.

When the time begins is decided in node and has no test of its own.

--- a/src/Fleet/registry_filter.h
+++ b/src/Fleet/registry_filter.h
@@ -5,7 +5,10 @@
 
 #include "target_pool.h"
 
+#include <set>
+#include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace damaskward {
@@ -41,4 +44,24 @@
     return result;
 }
 
+/// Adds the known records of registered targets that a read does not contain, for a store that
+/// may have lost records of live targets.
+/// \param records all records of a read of the store
+/// \param targets the targets as known before this read
+/// \returns \a records and the added records.
+inline std::vector<target_record> withRemembered(std::vector<target_record> records,
+                                                 const target_pool &targets)
+{
+    std::set<std::string> names;
+    for (const target_record &record : records) {
+        names.insert(record.name);
+    }
+    for (const auto &[name, t] : targets.all()) {
+        if (t.isRegistered && names.count(name) == 0) {
+            records.push_back(t.record);
+        }
+    }
+    return records;
+}
+
 } // namespace damaskward
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -31,8 +31,8 @@
 constexpr milliseconds rediscoveryInterval{10000};
 /// The store is considered unreachable after this time without a successful answer.
 constexpr milliseconds storeUnreachableAfter{2000};
-/// Targets whose records expired during a store outage need this long after its end to write them
-/// again.
+/// Targets whose records expired during a store outage, or were lost by its restore, need this long
+/// after its end to write them again.
 constexpr milliseconds recordRecoveryTime{2000};
 /// Fraction of the operators' bounds on retries that this router uses.
 constexpr double usedBoundShare = 0.7;
@@ -570,7 +570,7 @@
         if (m_storeUnreachable) {
             m_log.write(
                 log_line("store reachable again").add("ms", toMillis(now - m_storeAnsweredAt)));
-            m_storeRecoveredAt = now;
+            m_recoveringUntil = now + recordRecoveryTime;
         }
         m_storeUnreachable = false;
         m_storeAnsweredAt = now;
@@ -599,6 +599,7 @@
                         .add("previous", m_storeEra)
                         .add("operatorRevision", m_operatorView.position().revision)
                         .add("config", configVersion()));
+        m_recoveringUntil = now + recordRecoveryTime;
         m_operatorView.noteRestored(now);
     }
     m_storeEra = era;
@@ -622,12 +623,11 @@
 }
 
 /// \returns whether this VM's last reads are recent enough for the other VMs of the data centre to
-/// use. They are not at first on a VM whose network connection was interrupted.
+/// use. They are not at first on a VM whose network connection was interrupted, or while records
+/// may be missing from a store that was away or restored.
 bool node::hasRecentReads(time_point now) const
 {
-    const bool isRecovering =
-        m_storeRecoveredAt != time_point{} && now < m_storeRecoveredAt + recordRecoveryTime;
-    return !isRecovering && now < m_targetsUpdatedAt + readerMaxAge
+    return m_targetsUpdatedAt >= m_recoveringUntil && now < m_targetsUpdatedAt + readerMaxAge
         && now < m_operatorRowsUpdatedAt + operatorPollTimeout + readerMaxAge;
 }
 
@@ -911,25 +911,14 @@
         }
     }
     records = withoutOutdated(records, m_targets);
+    const bool isRecovering = now < m_recoveringUntil;
     // Must precede the addition of remembered records below, which may be outdated.
     const auto delta = m_registryReplica.applyRecords(records);
-    if (delta && delta->base != 0) {
+    if (delta && delta->base != 0 && !isRecovering) {
         sendToDataCenter(*delta); // Other VMs fetch a full version once a heartbeat announces it.
     }
-    const bool isRecovering =
-        m_storeRecoveredAt != time_point{} && now < m_storeRecoveredAt + recordRecoveryTime;
     if (isRecovering) {
-        // Targets whose records expired during the outage may not have written them again yet, so
-        // their remembered records stay in use.
-        std::set<std::string> readNames;
-        for (const target_record &record : records) {
-            readNames.insert(record.name);
-        }
-        for (const auto &[name, t] : m_targets.all()) {
-            if (t.isRegistered && readNames.count(name) == 0) {
-                records.push_back(t.record);
-            }
-        }
+        records = withRemembered(std::move(records), m_targets);
     }
     m_targets.applyRegistry(records, now);
 }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -145,7 +145,8 @@
     int m_heartbeatCount = 0;
     time_point m_tokenRetryAt{}; ///< when unanswered token requests are sent again
     time_point m_storeAnsweredAt{}; ///< last success of this VM or of its store reader
-    time_point m_storeRecoveredAt{}; ///< the first successful answer after an outage
+    /// Until then, records may be missing from the store, which was away or restored.
+    time_point m_recoveringUntil{};
     bool m_storeUnreachable = false;
     store_era m_storeEra = 0; ///< the newest known, 0 before the first answer
     time_point m_startedAt{};
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -703,6 +703,7 @@
     CPPUNIT_TEST(drainingTargetsStayDraining);
     CPPUNIT_TEST(readersIgnoreOutdatedRecords);
     CPPUNIT_TEST(newReadersIgnoreOutdatedRecords);
+    CPPUNIT_TEST(lostRecordsStayInUse);
     CPPUNIT_TEST_SUITE_END();
 
     static drain_change drained(const std::string &name) { return {data_center_id(name), true}; }
@@ -863,6 +864,17 @@
         CPPUNIT_ASSERT(withoutOutdated({record("a", 45)}, targets).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, withoutOutdated({record("a", 51)}, targets).size());
     }
+
+    // Guards against live targets that get no requests, because the copy does not contain their
+    // records yet.
+    void lostRecordsStayInUse()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a"), record("b"), record("c")}, start);
+        targets.applyRegistry({record("a"), record("b")}, start);
+        const auto used = withRemembered({record("a", 8)}, targets);
+        CPPUNIT_ASSERT(namesOf(used) == std::set<std::string>({"a", "b"}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
