Write a VM's own row again after a restore of the store

What callers would see: nothing at first; a VM that starts after the restore does not discover the VMs whose rows the copy lacks, except through others.

Cause: a VM wrote its row once, at its start.

Evidence: ownRowIsWrittenAgain.

A write that is in progress when the VM learns of the new era does not count, since it may precede the restore. Discovery is started by the first write only.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -134,6 +134,7 @@
           internalListenerLimits,
           [this](const std::shared_ptr<http_exchange> &exchange) { serveMetrics(*exchange); })
     , m_signals(loop, SIGTERM, SIGINT)
+    , m_registration(m_environment.name.str())
     , m_registryReplica(m_environment.name.str(), static_cast<std::uint64_t>(m_incarnation))
 {
     start();
@@ -153,7 +154,6 @@
     m_startedAt = mono_clock::now();
     updateLimits(m_startedAt);
     storeTick();
-    registerSelf();
     heartbeatTick();
     coordinatorTick();
     logTick();
@@ -601,6 +601,7 @@
                         .add("config", configVersion()));
         m_recoveringUntil = now + recordRecoveryTime;
         m_operatorView.noteRestored(now);
+        m_registration.noteRestored(now);
     }
     m_storeEra = era;
 }
@@ -724,10 +725,11 @@
     });
 }
 
-/// Periodically starts the reads of the store that no other VM does for this one.
+/// Periodically starts the calls of the store that no other VM makes for this one.
 void node::storeTick()
 {
     const time_point now = mono_clock::now();
+    registerSelf();
     if (shouldReadStore(now)) {
         if (!m_followingOperatorRows) {
             readOperatorRows();
@@ -817,7 +819,7 @@
 
 /// Applies a configuration, unless it is outdated.
 /// \param text its encoded form
-void node::applyConfig(std::shared_ptr<const deployment> config, const std::string &text)
+void node::applyConfig(const std::shared_ptr<const deployment> &config, const std::string &text)
 {
     if (config->version <= configVersion()) {
         return; // Versions only increase.
@@ -923,16 +925,20 @@
     m_targets.applyRegistry(records, now);
 }
 
+/// Writes this VM's own row if it is due.
 void node::registerSelf()
 {
+    if (!m_registration.start(mono_clock::now())) {
+        return;
+    }
     table_transaction transaction;
     transaction.puts.push_back({vmRowPrefix + m_environment.name.str(), m_environment.ip});
     m_platform.store.commit(m_platform.ownTable, transaction, [this](commit_answer &&answer) {
-        if (answer.outcome == commit_outcome::Applied) {
+        const bool isApplied = answer.outcome == commit_outcome::Applied;
+        m_registration.finish(isApplied, mono_clock::now());
+        if (isApplied && !m_discoveryStarted) {
+            m_discoveryStarted = true;
             discoverVms();
-        } else {
-            m_registerBackoff = std::clamp(2 * m_registerBackoff, minRetryBackoff, maxRetryBackoff);
-            scheduleAfter(m_registerBackoff, [this] { registerSelf(); });
         }
     });
 }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -6,6 +6,7 @@
 #include "../Admission/rate_limiter.h"
 #include "../Fleet/membership.h"
 #include "../Fleet/operator_view.h"
+#include "../Fleet/registration_schedule.h"
 #include "../Fleet/registry_filter.h"
 #include "../Fleet/target_pool.h"
 #include "../Fleet/vm_environment.h"
@@ -71,7 +72,7 @@
     void readOperatorRows();
     void followOperatorRows(table_revision after);
     std::vector<drain_change> processOperatorRows(const row_set &rows);
-    void applyConfig(std::shared_ptr<const deployment> config, const std::string &text);
+    void applyConfig(const std::shared_ptr<const deployment> &config, const std::string &text);
     void logReload(const deployment &config);
     void applyDrainedDataCenters(time_point now);
     void readTargets();
@@ -129,6 +130,8 @@
     boost::asio::signal_set m_signals;
 
     operator_view m_operatorView;
+    registration_schedule m_registration;
+    bool m_discoveryStarted = false; ///< it repeats by itself
     std::string m_configText; ///< the active configuration, in the form that peers fetch
     bool m_fetchingConfig = false;
     bool m_fetchingRegistry = false;
@@ -153,7 +156,6 @@
     time_point m_readerMissingSince{}; ///< since when this VM has no store reader to follow
     time_point m_storeRetryAt{}; ///< earliest time of the next read, after failed reads
     milliseconds m_storeBackoff{0}; ///< set by the last failed read, else 0
-    milliseconds m_registerBackoff{0}; ///< set by the last failed attempt to register
     bool m_shuttingDown = false;
     time_point m_shutdownDeadline{};
 };
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include "src/Admission/rate_limiter.h"
 #include "src/Fleet/membership.h"
 #include "src/Fleet/operator_view.h"
+#include "src/Fleet/registration_schedule.h"
 #include "src/Fleet/registry_filter.h"
 #include "src/Fleet/registry_replica.h"
 #include "src/Fleet/weighted_round_robin.h"
@@ -704,6 +705,7 @@
     CPPUNIT_TEST(readersIgnoreOutdatedRecords);
     CPPUNIT_TEST(newReadersIgnoreOutdatedRecords);
     CPPUNIT_TEST(lostRecordsStayInUse);
+    CPPUNIT_TEST(ownRowIsWrittenAgain);
     CPPUNIT_TEST_SUITE_END();
 
     static drain_change drained(const std::string &name) { return {data_center_id(name), true}; }
@@ -875,6 +877,39 @@
         const auto used = withRemembered({record("a", 8)}, targets);
         CPPUNIT_ASSERT(namesOf(used) == std::set<std::string>({"a", "b"}));
     }
+
+    // Guards against VMs that new VMs do not discover, because the restored store lacks their rows.
+    void ownRowIsWrittenAgain()
+    {
+        registration_schedule schedule("vm-1");
+        CPPUNIT_ASSERT(schedule.start(start));
+        CPPUNIT_ASSERT(!schedule.start(start)); // The write is in progress.
+        schedule.finish(false, start);
+        CPPUNIT_ASSERT(!schedule.start(start));
+        CPPUNIT_ASSERT(schedule.start(start + registration_schedule::minBackoff));
+        // The store is restored during the write, which may precede the restore.
+        schedule.noteRestored(start);
+        schedule.finish(true, start);
+        const time_point latest = start + registration_schedule::spread;
+        CPPUNIT_ASSERT(schedule.start(latest));
+        schedule.finish(true, latest);
+        CPPUNIT_ASSERT(!schedule.start(latest + seconds(100)));
+        // The VMs do not write at the same time.
+        std::set<milliseconds> delays;
+        for (int i = 0; i < 20; ++i) {
+            registration_schedule other("vm-" + std::to_string(i));
+            other.start(start);
+            other.finish(true, start);
+            other.noteRestored(start);
+            milliseconds delay{0};
+            while (delay < registration_schedule::spread && !other.start(start + delay)) {
+                ++delay;
+            }
+            CPPUNIT_ASSERT(delay < registration_schedule::spread);
+            delays.insert(delay);
+        }
+        CPPUNIT_ASSERT(delays.size() > 10);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
