--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -31,8 +31,8 @@
 constexpr milliseconds rediscoveryInterval{10000};
 /// The store is considered unreachable after this time without a successful answer.
 constexpr milliseconds storeUnreachableAfter{2000};
-/// Targets whose records expired during a store outage need this long after its end to write them
-/// again.
+/// Targets whose records expired during a store outage, or were lost by its restore, need this long
+/// after its end to write them again.
 constexpr milliseconds recordRecoveryTime{2000};
 /// Fraction of the operators' bounds on retries that this router uses.
 constexpr double usedBoundShare = 0.7;
@@ -134,6 +134,7 @@
           internalListenerLimits,
           [this](const std::shared_ptr<http_exchange> &exchange) { serveMetrics(*exchange); })
     , m_signals(loop, SIGTERM, SIGINT)
+    , m_registration(m_environment.name.str())
     , m_registryReplica(m_environment.name.str(), static_cast<std::uint64_t>(m_incarnation))
 {
     start();
@@ -153,7 +154,6 @@
     m_startedAt = mono_clock::now();
     updateLimits(m_startedAt);
     storeTick();
-    registerSelf();
     heartbeatTick();
     coordinatorTick();
     logTick();
@@ -171,6 +171,7 @@
     const time_point now = mono_clock::now();
     m_membership.expire(now);
     updateInFlightElsewhere(now);
+    applyDrainedDataCenters(now); // Those remembered from before a restore end with time.
     constexpr int heartbeatsPerLimitUpdate = 5;
     if (m_heartbeatCount % heartbeatsPerLimitUpdate == 0) {
         updateLimits(now);
@@ -209,8 +210,8 @@
     }
     beat.readsStore = hasRecentReads(now);
     beat.registryVersion = m_registryReplica.version();
-    beat.operatorRevision = m_operatorRevision;
-    for (const data_center_id &dc : m_drainedDataCenters) {
+    beat.operatorPosition = m_operatorView.position();
+    for (const data_center_id &dc : m_operatorView.drained(now)) {
         beat.drainedDataCenters.push_back(dc.str());
     }
     return beat;
@@ -277,7 +278,7 @@
 void node::handleDigest(const membership_digest &digest, const std::string &fromIp)
 {
     const time_point now = mono_clock::now();
-    noteStoreEra(digest.storeEra, now);
+    notePeerEra(digest.storeEra, now);
     m_coordinatorRole.onMapVersion(digest.mapVersion);
     m_membership.apply(digest, now);
     m_targets.setRemoteLoads(data_center_id(digest.dataCenter), digest.loads, now);
@@ -362,7 +363,7 @@
     if (beat.name == m_environment.name.str()) {
         return;
     }
-    noteStoreEra(beat.storeEra, now);
+    notePeerEra(beat.storeEra, now);
     m_coordinatorRole.onMapVersion(beat.mapVersion);
     if (m_membership.apply(beat, now)) {
         m_log.write(log_line("peer").add("name", beat.name).add("ip", fromIp));
@@ -573,7 +574,7 @@
         if (m_storeUnreachable) {
             m_log.write(
                 log_line("store reachable again").add("ms", toMillis(now - m_storeAnsweredAt)));
-            m_storeRecoveredAt = now;
+            m_recoveringUntil = now + recordRecoveryTime;
         }
         m_storeUnreachable = false;
         m_storeAnsweredAt = now;
@@ -590,7 +591,7 @@
     }
 }
 
-/// Processes the store's era, as stated by the store or by another VM.
+/// Processes the store's era.
 void node::noteStoreEra(store_era era, time_point now)
 {
     m_coordinatorRole.onStoreEra(era, now);
@@ -601,12 +602,26 @@
         m_log.write(log_line("store restored from an older copy")
                         .add("era", era)
                         .add("previous", m_storeEra)
-                        .add("operatorRevision", m_operatorRevision)
+                        .add("operatorRevision", m_operatorView.position().revision)
                         .add("config", configVersion()));
+        m_recoveringUntil = now + recordRecoveryTime;
+        m_operatorView.noteRestored(now);
+        m_registration.noteRestored(now);
     }
     m_storeEra = era;
 }
 
+/// Processes the store's era as stated by another VM. This VM's own long poll may be waiting for a
+/// connection that was lost when the store was restored.
+void node::notePeerEra(store_era era, time_point now)
+{
+    const bool isRestored = m_storeEra != 0 && era > m_storeEra;
+    noteStoreEra(era, now);
+    if (isRestored && m_followingOperatorRows) {
+        readOperatorRows();
+    }
+}
+
 bool node::isStoreReader(time_point now) const
 {
     return m_membership.roleHolderIn(m_environment.dataCenter.str(), storeReaderRole, now)
@@ -614,12 +629,11 @@
 }
 
 /// \returns whether this VM's last reads are recent enough for the other VMs of the data centre to
-/// use. They are not at first on a VM whose network connection was interrupted.
+/// use. They are not at first on a VM whose network connection was interrupted, or while records
+/// may be missing from a store that was away or restored.
 bool node::hasRecentReads(time_point now) const
 {
-    const bool isRecovering =
-        m_storeRecoveredAt != time_point{} && now < m_storeRecoveredAt + recordRecoveryTime;
-    return !isRecovering && now < m_targetsUpdatedAt + readerMaxAge
+    return m_targetsUpdatedAt >= m_recoveringUntil && now < m_targetsUpdatedAt + readerMaxAge
         && now < m_operatorRowsUpdatedAt + operatorPollTimeout + readerMaxAge;
 }
 
@@ -666,13 +680,12 @@
     }
     m_storeAnsweredAt = now;
     m_storeUnreachable = false;
-    if (beat.operatorRevision > m_operatorRevision) {
-        m_operatorRevision = beat.operatorRevision;
-        m_drainedDataCenters.clear();
-        for (const std::string &dc : beat.drainedDataCenters) {
-            m_drainedDataCenters.insert(data_center_id(dc));
-        }
-        applyDrainedDataCenters();
+    std::set<data_center_id> drained;
+    for (const std::string &dc : beat.drainedDataCenters) {
+        drained.insert(data_center_id(dc));
+    }
+    if (m_operatorView.applyReaderState(std::move(drained), beat.operatorPosition)) {
+        applyDrainedDataCenters(now);
     }
     if (!m_registryReplica.hasVersion(beat.name, beat.registryVersion)) {
         fetchRegistry(beat.ip);
@@ -697,8 +710,8 @@
     for (const target_record &record : delta.changed) {
         m_targets.applyRecord(record, now);
     }
-    for (const std::string &name : delta.removed) {
-        m_targets.remove(name, now);
+    for (const removed_target &target : delta.removed) {
+        m_targets.remove(target, now);
     }
 }
 
@@ -717,10 +730,11 @@
     });
 }
 
-/// Periodically starts the reads of the store that no other VM does for this one.
+/// Periodically starts the calls of the store that no other VM makes for this one.
 void node::storeTick()
 {
     const time_point now = mono_clock::now();
+    registerSelf();
     if (shouldReadStore(now)) {
         if (!m_followingOperatorRows) {
             readOperatorRows();
@@ -732,10 +746,16 @@
     scheduleAfter(minRetryBackoff, [this] { storeTick(); });
 }
 
+/// Reads the operators' rows completely and then follows their changes, in place of a read or a
+/// long poll in progress.
 void node::readOperatorRows()
 {
     m_followingOperatorRows = true;
-    m_platform.store.read(m_platform.operatorTable, "", [this](row_result &&result) {
+    const std::uint64_t number = ++m_operatorReadNumber;
+    m_platform.store.read(m_platform.operatorTable, "", [this, number](row_result &&result) {
+        if (number != m_operatorReadNumber) {
+            return;
+        }
         const time_point now = mono_clock::now();
         const auto *rows = std::get_if<row_set>(&result);
         handleStoreAnswer(rows != nullptr, now);
@@ -744,69 +764,76 @@
             return;
         }
         noteStoreEra(rows->era, now);
-        m_drainedDataCenters.clear();
-        applyOperatorRows(*rows);
+        m_operatorView.applyTable(processOperatorRows(*rows), {rows->era, rows->revision});
+        m_operatorRowsUpdatedAt = now;
+        applyDrainedDataCenters(now);
         followOperatorRows(rows->revision);
     });
 }
 
-void node::applyOperatorRows(const row_set &rows)
-{
-    for (const table_row &row : rows.rows) {
-        applyOperatorRow(row);
-    }
-    m_operatorRevision = std::max(m_operatorRevision, rows.revision);
-    m_operatorRowsUpdatedAt = mono_clock::now();
-    applyDrainedDataCenters();
-}
-
 void node::followOperatorRows(table_revision revision)
 {
     if (followedReader(mono_clock::now())) {
         m_followingOperatorRows = false; // Another VM is the store reader now.
         return;
     }
+    const std::uint64_t number = m_operatorReadNumber;
     m_platform.store.follow(m_platform.operatorTable, revision, operatorPollTimeout,
-                            [this](row_result &&result) {
+                            [this, number](row_result &&result) {
+                                if (number != m_operatorReadNumber) {
+                                    return;
+                                }
+                                const time_point now = mono_clock::now();
                                 const auto *rows = std::get_if<row_set>(&result);
                                 if (!rows) {
                                     m_followingOperatorRows = false;
                                     return;
                                 }
-                                noteStoreEra(rows->era, mono_clock::now());
-                                applyOperatorRows(*rows);
+                                noteStoreEra(rows->era, now);
+                                if (!m_operatorView.applyChanges(processOperatorRows(*rows),
+                                                                 {rows->era, rows->revision})) {
+                                    readOperatorRows();
+                                    return;
+                                }
+                                m_operatorRowsUpdatedAt = now;
+                                applyDrainedDataCenters(now);
                                 followOperatorRows(rows->revision);
                             });
 }
 
-void node::applyOperatorRow(const table_row &row)
+/// Applies the configuration among operators' rows.
+/// \returns the drains of data centres among them.
+std::vector<drain_change> node::processOperatorRows(const row_set &rows)
 {
-    const operator_update update = m_platform.decodeOperatorRow(row);
-    if (!update.drainedDataCenter.empty()) {
-        const data_center_id dc(update.drainedDataCenter);
-        if (row.deleted) {
-            m_drainedDataCenters.erase(dc);
+    std::vector<drain_change> drains;
+    for (const table_row &row : rows.rows) {
+        const operator_update update = m_platform.decodeOperatorRow(row);
+        if (update.config) {
+            applyConfig(update.config, row.value);
+        } else if (!update.drainedDataCenter.empty()) {
+            drains.push_back({data_center_id(update.drainedDataCenter), !row.deleted});
+            m_log.write(log_line("data center drain changed")
+                            .add("name", update.drainedDataCenter)
+                            .add("out", !row.deleted));
         } else {
-            m_drainedDataCenters.insert(dc);
-        }
-        m_log.write(
-            log_line("data center drain changed").add("name", dc.str()).add("out", !row.deleted));
-    }
-    const std::uint64_t currentVersion = configVersion();
-    if (!update.config) {
-        if (update.drainedDataCenter.empty()) {
             m_log.write(log_line("row skipped").add("row", row.name));
         }
-        return;
     }
-    if (update.config->version <= currentVersion) {
-        return; // Outdated: versions only increase.
-    }
-    logReload(*update.config);
-    m_configText = row.value;
-    m_router.setDeployment(update.config);
-    m_targets.setDeployment(*update.config);
-    m_coordinatorRole.setDeployment(*update.config);
+    return drains;
+}
+
+/// Applies a configuration, unless it is outdated.
+/// \param text its encoded form
+void node::applyConfig(const std::shared_ptr<const deployment> &config, const std::string &text)
+{
+    if (config->version <= configVersion()) {
+        return; // Versions only increase.
+    }
+    logReload(*config);
+    m_configText = text;
+    m_router.setDeployment(config);
+    m_targets.setDeployment(*config);
+    m_coordinatorRole.setDeployment(*config);
 }
 
 /// Logs a new configuration and the team limits that it changes.
@@ -825,9 +852,9 @@
     }
 }
 
-void node::applyDrainedDataCenters()
+void node::applyDrainedDataCenters(time_point now)
 {
-    m_targets.setDrainedDataCenters(m_drainedDataCenters, mono_clock::now());
+    m_targets.setDrainedDataCenters(m_operatorView.drained(now), now);
 }
 
 void node::fetchConfig(const std::string &ip)
@@ -839,7 +866,7 @@
     fetchFromPeer(ip, configPath, [this](const std::string &body) {
         m_fetchingConfig = false;
         if (!body.empty()) {
-            applyOperatorRow({configPath + 1, body, 0, false});
+            processOperatorRows({{{configPath + 1, body, 0, false}}, 0, 0});
         }
     });
 }
@@ -890,39 +917,33 @@
             m_log.write(log_line("row skipped").add("row", row.name));
         }
     }
+    records = withoutOutdated(records, m_targets);
+    const bool isRecovering = now < m_recoveringUntil;
     // Must precede the addition of remembered records below, which may be outdated.
     const auto delta = m_registryReplica.applyRecords(records);
-    if (delta && delta->base != 0) {
+    if (delta && delta->base != 0 && !isRecovering) {
         sendToDataCenter(*delta); // Other VMs fetch a full version once a heartbeat announces it.
     }
-    const bool isRecovering =
-        m_storeRecoveredAt != time_point{} && now < m_storeRecoveredAt + recordRecoveryTime;
     if (isRecovering) {
-        // Targets whose records expired during the outage may not have written them again yet, so
-        // their remembered records stay in use.
-        std::set<std::string> readNames;
-        for (const target_record &record : records) {
-            readNames.insert(record.name);
-        }
-        for (const auto &[name, t] : m_targets.all()) {
-            if (t.isRegistered && readNames.count(name) == 0) {
-                records.push_back(t.record);
-            }
-        }
+        records = withRemembered(std::move(records), m_targets);
     }
     m_targets.applyRegistry(records, now);
 }
 
+/// Writes this VM's own row if it is due.
 void node::registerSelf()
 {
+    if (!m_registration.start(mono_clock::now())) {
+        return;
+    }
     table_transaction transaction;
     transaction.puts.push_back({vmRowPrefix + m_environment.name.str(), m_environment.ip});
     m_platform.store.commit(m_platform.ownTable, transaction, [this](commit_answer &&answer) {
-        if (answer.outcome == commit_outcome::Applied) {
+        const bool isApplied = answer.outcome == commit_outcome::Applied;
+        m_registration.finish(isApplied, mono_clock::now());
+        if (isApplied && !m_discoveryStarted) {
+            m_discoveryStarted = true;
             discoverVms();
-        } else {
-            m_registerBackoff = std::clamp(2 * m_registerBackoff, minRetryBackoff, maxRetryBackoff);
-            scheduleAfter(m_registerBackoff, [this] { registerSelf(); });
         }
     });
 }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -5,6 +5,9 @@
 
 #include "../Admission/rate_limiter.h"
 #include "../Fleet/membership.h"
+#include "../Fleet/operator_view.h"
+#include "../Fleet/registration_schedule.h"
+#include "../Fleet/registry_filter.h"
 #include "../Fleet/target_pool.h"
 #include "../Fleet/vm_environment.h"
 #include "../Proxy/deadline_queue.h"
@@ -68,10 +71,10 @@
     void storeTick();
     void readOperatorRows();
     void followOperatorRows(table_revision after);
-    void applyOperatorRows(const row_set &rows);
-    void applyOperatorRow(const table_row &row);
+    std::vector<drain_change> processOperatorRows(const row_set &rows);
+    void applyConfig(const std::shared_ptr<const deployment> &config, const std::string &text);
     void logReload(const deployment &config);
-    void applyDrainedDataCenters();
+    void applyDrainedDataCenters(time_point now);
     void readTargets();
     void fetchFromPeer(const std::string &ip, const std::string &path,
                        std::function<void(const std::string &body)> done);
@@ -101,6 +104,7 @@
     bool isReady() const;
     void handleStoreAnswer(bool isSuccess, time_point now);
     void noteStoreEra(store_era era, time_point now);
+    void notePeerEra(store_era era, time_point now);
     void startShutdown();
     void continueShutdown();
     void scheduleAfter(duration span, std::function<void()> action);
@@ -125,14 +129,16 @@
     http_listener m_metricsListener;
     boost::asio::signal_set m_signals;
 
-    std::set<data_center_id> m_drainedDataCenters;
+    operator_view m_operatorView;
+    registration_schedule m_registration;
+    bool m_discoveryStarted = false; ///< it repeats by itself
     std::string m_configText; ///< the active configuration, in the form that peers fetch
     bool m_fetchingConfig = false;
     bool m_fetchingRegistry = false;
     registry_replica m_registryReplica;
     bool m_followingOperatorRows = false; ///< a read or long poll of them is in progress
+    std::uint64_t m_operatorReadNumber = 0; ///< answers to earlier reads and polls are ignored
     bool m_readingTargets = false;
-    std::uint64_t m_operatorRevision = 0;
     time_point m_targetsRequestedAt{};
     time_point m_targetsUpdatedAt{}; ///< this VM's own last successful read of the registry
     time_point m_operatorRowsUpdatedAt{}; ///< this VM's own last successful read of operator rows
@@ -142,14 +148,14 @@
     int m_heartbeatCount = 0;
     time_point m_tokenRetryAt{}; ///< when unanswered token requests are sent again
     time_point m_storeAnsweredAt{}; ///< last success of this VM or of its store reader
-    time_point m_storeRecoveredAt{}; ///< the first successful answer after an outage
+    /// Until then, records may be missing from the store, which was away or restored.
+    time_point m_recoveringUntil{};
     bool m_storeUnreachable = false;
     store_era m_storeEra = 0; ///< the newest known, 0 before the first answer
     time_point m_startedAt{};
     time_point m_readerMissingSince{}; ///< since when this VM has no store reader to follow
     time_point m_storeRetryAt{}; ///< earliest time of the next read, after failed reads
     milliseconds m_storeBackoff{0}; ///< set by the last failed read, else 0
-    milliseconds m_registerBackoff{0}; ///< set by the last failed attempt to register
     bool m_shuttingDown = false;
     time_point m_shutdownDeadline{};
 };
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -76,11 +76,12 @@
                 m.inFlight,
                 m.readsStore,
                 m.registryVersion,
-                m.operatorRevision,
+                m.operatorPosition.revision,
                 m.drainedDataCenters,
                 m.hasSpareCpu,
                 m.knowsNoPeer,
-                m.storeEra};
+                m.storeEra,
+                m.operatorPosition.era};
     }
     json operator()(const membership_digest &m) const
     {
@@ -100,7 +101,11 @@
                                r.address, r.slots, r.draining, r.heartbeatCounter,
                                r.warmupLeft.count()});
         }
-        return {"r", m.reader, m.base, m.version, std::move(changed), m.removed};
+        json removed = json::array();
+        for (const removed_target &t : m.removed) {
+            removed.push_back({t.name, t.incarnation, t.heartbeatCounter});
+        }
+        return {"r", m.reader, m.base, m.version, std::move(changed), std::move(removed)};
     }
     json operator()(const owner_update &m) const
     {
@@ -159,11 +164,11 @@
     m.inFlight = a.at(9).get<std::map<std::string, int>>();
     m.readsStore = a.at(10);
     m.registryVersion = a.at(11);
-    m.operatorRevision = a.at(12);
     m.drainedDataCenters = a.at(13).get<std::vector<std::string>>();
     m.hasSpareCpu = a.at(14);
     m.knowsNoPeer = a.at(15);
     m.storeEra = a.at(16);
+    m.operatorPosition = {a.at(17), a.at(12)};
     return m;
 }
 
@@ -210,7 +215,9 @@
         r.warmupLeft = milliseconds(item.at(8).get<std::int64_t>());
         m.changed.push_back(std::move(r));
     }
-    m.removed = a.at(5).get<std::vector<std::string>>();
+    for (const json &item : a.at(5)) {
+        m.removed.push_back({item.at(0), item.at(1), item.at(2)});
+    }
     return m;
 }
 
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -3,6 +3,9 @@
 
 #include "src/Admission/rate_limiter.h"
 #include "src/Fleet/membership.h"
+#include "src/Fleet/operator_view.h"
+#include "src/Fleet/registration_schedule.h"
+#include "src/Fleet/registry_filter.h"
 #include "src/Fleet/registry_replica.h"
 #include "src/Fleet/weighted_round_robin.h"
 #include "src/Node/peer_message.h"
@@ -659,8 +662,11 @@
         delta.reader = "vm-1";
         delta.version = 4;
         delta.changed = {record("a")};
-        delta.removed = {"b"};
+        delta.removed = {{"b", 7, 30}};
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:1"), roundTrip(delta).changed[0].address);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), roundTrip(delta).removed.at(0).name);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, roundTrip(delta).removed.at(0).incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{30}, roundTrip(delta).removed.at(0).heartbeatCounter);
 
         key_demand demand;
         demand.keys[service_id("s")] = {1, 65535};
@@ -757,7 +763,227 @@
     }
 };
 
+/// The store comes back from an older copy, with a higher era.
+class restored_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(restored_store_test);
+    CPPUNIT_TEST(operatorRowsOfANewEraAreNewer);
+    CPPUNIT_TEST(changesAcrossARestoreAreDiscarded);
+    CPPUNIT_TEST(drainedDataCentersAreRemembered);
+    CPPUNIT_TEST(followersRememberDrainedDataCenters);
+    CPPUNIT_TEST(drainingTargetsStayDraining);
+    CPPUNIT_TEST(readersIgnoreOutdatedRecords);
+    CPPUNIT_TEST(newReadersIgnoreOutdatedRecords);
+    CPPUNIT_TEST(lostRecordsStayInUse);
+    CPPUNIT_TEST(ownRowIsWrittenAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+    static drain_change drained(const std::string &name) { return {data_center_id(name), true}; }
+    static std::set<data_center_id> names(const std::set<std::string> &list)
+    {
+        return {list.begin(), list.end()};
+    }
+
+    // Guards against evacuations that did not take effect at the VMs that follow a store reader:
+    // revisions were compared across a restore of the store, after which they are lower.
+    void operatorRowsOfANewEraAreNewer()
+    {
+        operator_view reader;
+        operator_view follower;
+        reader.applyTable({}, {1, 500});
+        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(start), reader.position()));
+        reader.applyTable({drained("far")}, {2, 420});
+        CPPUNIT_ASSERT(follower.applyReaderState(reader.drained(start), reader.position()));
+        CPPUNIT_ASSERT(follower.drained(start) == names({"far"}));
+        // Another reader has not read the restored store yet.
+        CPPUNIT_ASSERT(!follower.applyReaderState({}, {1, 510}));
+        CPPUNIT_ASSERT(follower.drained(start) == names({"far"}));
+        // The state is passed on in heartbeats.
+        heartbeat beat;
+        beat.operatorPosition = reader.position();
+        const auto message = decodeMessage(encodeMessage(beat));
+        const table_position copy = std::get<heartbeat>(message.value()).operatorPosition;
+        CPPUNIT_ASSERT_EQUAL(store_era{2}, copy.era);
+        CPPUNIT_ASSERT_EQUAL(table_revision{420}, copy.revision);
+    }
+
+    // Guards against configurations and evacuations that were not applied until the next change of
+    // a row: the feed went on from a revision that the restored store had given out again.
+    void changesAcrossARestoreAreDiscarded()
+    {
+        operator_view view;
+        view.applyTable({}, {1, 500});
+        CPPUNIT_ASSERT(view.applyChanges({}, {1, 501}));
+        // The row written at revision 450 is missing, because the feed starts at 501.
+        CPPUNIT_ASSERT(!view.applyChanges({drained("far")}, {2, 502}));
+        CPPUNIT_ASSERT_EQUAL(store_era{1}, view.position().era);
+        CPPUNIT_ASSERT(view.drained(start).empty());
+        view.applyTable({drained("near"), drained("far")}, {2, 502});
+        CPPUNIT_ASSERT(view.applyChanges({{data_center_id("far"), false}}, {2, 503}));
+        CPPUNIT_ASSERT(view.drained(start) == names({"near"}));
+        CPPUNIT_ASSERT(view.applyChanges({}, {0, 504})); // The answer does not state its era.
+        CPPUNIT_ASSERT_EQUAL(store_era{2}, view.position().era);
+    }
+
+    // Guards against requests to a drained data centre, whose row the copy does not have and the
+    // operator has not written again yet.
+    void drainedDataCentersAreRemembered()
+    {
+        operator_view view;
+        view.applyTable({drained("far")}, {1, 500});
+        view.noteRestored(start);
+        view.applyTable({}, {2, 420});
+        CPPUNIT_ASSERT(view.drained(start) == names({"far"}));
+        // A new drain acts at once.
+        CPPUNIT_ASSERT(view.applyChanges({drained("near")}, {2, 421}));
+        const time_point end = start + operator_view::recoveryTime;
+        CPPUNIT_ASSERT(view.drained(end - milliseconds(1)) == names({"far", "near"}));
+        CPPUNIT_ASSERT(view.drained(end) == names({"near"}));
+        CPPUNIT_ASSERT(view.applyChanges({drained("far")}, {2, 422}));
+        CPPUNIT_ASSERT(view.drained(end) == names({"far", "near"}));
+    }
+
+    // Guards against the same at VMs that follow a store reader, also one that has just started.
+    void followersRememberDrainedDataCenters()
+    {
+        operator_view reader;
+        operator_view follower;
+        operator_view newFollower;
+        reader.applyTable({drained("far")}, {1, 500});
+        follower.applyReaderState(reader.drained(start), reader.position());
+        follower.noteRestored(start);
+        operator_view newReader;
+        newReader.applyTable({}, {2, 420});
+        follower.applyReaderState(newReader.drained(start), newReader.position());
+        CPPUNIT_ASSERT(follower.drained(start) == names({"far"}));
+        reader.noteRestored(start);
+        reader.applyTable({}, {2, 420});
+        newFollower.applyReaderState(reader.drained(start), reader.position());
+        CPPUNIT_ASSERT(newFollower.drained(start) == names({"far"}));
+        // The operator has taken the drain back: it ends everywhere.
+        const time_point end = start + operator_view::recoveryTime;
+        follower.applyReaderState(reader.drained(end), reader.position());
+        newFollower.applyReaderState(reader.drained(end), reader.position());
+        CPPUNIT_ASSERT(follower.drained(end).empty());
+        CPPUNIT_ASSERT(newFollower.drained(end).empty());
+    }
+
+    static target_record drainingRecord(const std::string &name, std::int64_t heartbeatCounter)
+    {
+        target_record r = record(name, heartbeatCounter);
+        r.draining = true;
+        return r;
+    }
+
+    // Guards against requests to a draining target whose older record the restored store contains.
+    void drainingTargetsStayDraining()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a", 50), record("b", 50)}, start);
+        targets.applyRegistry({drainingRecord("a", 51), record("b", 51)}, start);
+        targets.applyRegistry({record("a", 45), record("b", 45)}, start + seconds(1));
+        CPPUNIT_ASSERT(!targets.isUsable(*targets.find("a"), start + seconds(1)));
+        CPPUNIT_ASSERT(targets.isUsable(*targets.find("b"), start + seconds(1)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{51}, targets.find("a")->record.heartbeatCounter);
+        CPPUNIT_ASSERT(targets.find("a")->drainingSince == start);
+        target_record restarted = record("a", 1);
+        restarted.incarnation = 2;
+        targets.applyRecord(restarted, start + seconds(2));
+        CPPUNIT_ASSERT(targets.isUsable(*targets.find("a"), start + seconds(2)));
+    }
+
+    static std::set<std::string> namesOf(const std::vector<target_record> &records)
+    {
+        std::set<std::string> result;
+        for (const target_record &r : records) {
+            result.insert(r.name);
+        }
+        return result;
+    }
+
+    // Guards against requests to targets that have left, whose records the restored store contains.
+    void readersIgnoreOutdatedRecords()
+    {
+        target_pool targets(data_center_id("near"));
+        target_record next = record("c", 5);
+        next.incarnation = 2;
+        targets.applyRegistry({record("a", 50), record("b", 50), next}, start);
+        targets.applyRegistry({drainingRecord("a", 51), next}, start);
+        const auto read = withoutOutdated(
+            {record("a", 45), record("b", 50), record("c", 60), record("d", 8)}, targets);
+        CPPUNIT_ASSERT(namesOf(read) == std::set<std::string>({"a", "c", "d"}));
+        CPPUNIT_ASSERT(read[0].draining);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, read[1].incarnation);
+        // A new heartbeat shows that the target is alive.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, withoutOutdated({record("b", 51)}, targets).size());
+        next = record("b", 1);
+        next.incarnation = 2;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, withoutOutdated({next}, targets).size());
+    }
+
+    // Guards against the same at a VM that becomes the store reader: from its previous reader it
+    // knew only the heartbeat counter of the last change.
+    void newReadersIgnoreOutdatedRecords()
+    {
+        registry_replica reader("r", 100);
+        target_pool targets(data_center_id("near"));
+        reader.applyRecords({record("a", 10)});
+        targets.applyRegistry(reader.records(), start);
+        CPPUNIT_ASSERT(!reader.applyRecords({record("a", 50)}));
+        const registry_delta delta = reader.applyRecords({}).value();
+        targets.remove(delta.removed.at(0), start);
+        CPPUNIT_ASSERT(!targets.isUsable(*targets.find("a"), start));
+        CPPUNIT_ASSERT(withoutOutdated({record("a", 45)}, targets).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, withoutOutdated({record("a", 51)}, targets).size());
+    }
+
+    // Guards against live targets that get no requests, because the copy does not contain their
+    // records yet.
+    void lostRecordsStayInUse()
+    {
+        target_pool targets(data_center_id("near"));
+        targets.applyRegistry({record("a"), record("b"), record("c")}, start);
+        targets.applyRegistry({record("a"), record("b")}, start);
+        const auto used = withRemembered({record("a", 8)}, targets);
+        CPPUNIT_ASSERT(namesOf(used) == std::set<std::string>({"a", "b"}));
+    }
+
+    // Guards against VMs that new VMs do not discover, because the restored store lacks their rows.
+    void ownRowIsWrittenAgain()
+    {
+        registration_schedule schedule("vm-1");
+        CPPUNIT_ASSERT(schedule.start(start));
+        CPPUNIT_ASSERT(!schedule.start(start)); // The write is in progress.
+        schedule.finish(false, start);
+        CPPUNIT_ASSERT(!schedule.start(start));
+        CPPUNIT_ASSERT(schedule.start(start + registration_schedule::minBackoff));
+        // The store is restored during the write, which may precede the restore.
+        schedule.noteRestored(start);
+        schedule.finish(true, start);
+        const time_point latest = start + registration_schedule::spread;
+        CPPUNIT_ASSERT(schedule.start(latest));
+        schedule.finish(true, latest);
+        CPPUNIT_ASSERT(!schedule.start(latest + seconds(100)));
+        // The VMs do not write at the same time.
+        std::set<milliseconds> delays;
+        for (int i = 0; i < 20; ++i) {
+            registration_schedule other("vm-" + std::to_string(i));
+            other.start(start);
+            other.finish(true, start);
+            other.noteRestored(start);
+            milliseconds delay{0};
+            while (delay < registration_schedule::spread && !other.start(start + delay)) {
+                ++delay;
+            }
+            CPPUNIT_ASSERT(delay < registration_schedule::spread);
+            delays.insert(delay);
+        }
+        CPPUNIT_ASSERT(delays.size() > 10);
+    }
+};
+
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(restored_store_test, "fleet");
 CPPUNIT_REGISTRY_ADD_TO_DEFAULT("fleet");
 
 } // namespace
