Documents nested too deeply are rejected

What was seen: another operator reports that an entry nested very deeply ended the machines that read it. Here, a message of nested CBOR arrays, as a datagram or as the registry fetched from another VM, ended the process.

Cause: the CBOR decoder of the JSON library recurses once per level, so the sender chooses the depth of the stack. JSON text is decoded without recursion, and an entry of the store nested 100,000 levels deep was accepted as a target; but copies, comparison and output of such a value recurse.

--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -1,5 +1,7 @@
 #include "peer_message.h"
 
+#include "../Core/json_depth.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -291,6 +293,9 @@
 
 std::optional<peer_message> decodeMessage(std::string_view datagram)
 {
+    if (!isShallowJson(datagram, json::input_format_t::cbor)) {
+        return std::nullopt;
+    }
     try {
         const json value = json::from_cbor(datagram, true, false);
         if (!value.is_array()) {
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(slowTargetsGetALowerRate);
     CPPUNIT_TEST(messagesRoundTrip);
     CPPUNIT_TEST(malformedMessagesAreRejected);
+    CPPUNIT_TEST(deeplyNestedMessagesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void servicesGetTheirWeights()
@@ -685,6 +686,21 @@
             decodeMessage(bytes); // Any result is valid, but no exception and no crash.
         }
     }
+
+    /// The CBOR decoder recurses: nested arrays or maps must not exhaust the stack. The longer
+    /// message is one fetched over TCP.
+    void deeplyNestedMessagesAreRejected()
+    {
+        for (const std::size_t bytes : {std::size_t{65000}, std::size_t{8000000}}) {
+            CPPUNIT_ASSERT(!decodeMessage(std::string(bytes, '\x81'))); // Arrays of one item.
+            CPPUNIT_ASSERT(!decodeMessage(std::string(bytes, '\x9f'))); // Arrays without a length.
+            std::string maps;
+            while (maps.size() < bytes) {
+                maps += "\xa1\x61k"; // A map with the key "k".
+            }
+            CPPUNIT_ASSERT(!decodeMessage(maps));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(fleet_test, "fleet");
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(commandAnswersAreDecoded);
     CPPUNIT_TEST(operatorRowsAreDecoded);
     CPPUNIT_TEST(malformedTextsNeverThrow);
+    CPPUNIT_TEST(deeplyNestedTextsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void settingsAreDecoded()
@@ -254,6 +255,25 @@
             }
         }
     }
+
+    static std::string nestedArrays(std::size_t depth)
+    {
+        return std::string(depth, '[') + std::string(depth, ']');
+    }
+
+    /// An entry nested 100,000 levels deep must not exhaust the stack of the VM that reads it.
+    void deeplyNestedTextsAreRejected()
+    {
+        const std::string nested = "{\"extra\":" + nestedArrays(100000) + ',';
+        CPPUNIT_ASSERT(
+            std::holds_alternative<error>(decodeTarget("i-1", nested + targetText.substr(1))));
+        CPPUNIT_ASSERT(
+            std::holds_alternative<error>(decodeDeployment(nested + configText.substr(1))));
+        CPPUNIT_ASSERT(
+            std::holds_alternative<error>(decodeTarget("i-1", std::string(100000, '['))));
+        CPPUNIT_ASSERT(std::holds_alternative<target_record>(
+            decodeTarget("i-1", "{\"extra\":" + nestedArrays(8) + ',' + targetText.substr(1))));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(platform_test, "platform");
