Numbers out of range make an entry invalid

What was seen: another operator reports that an entry with a number too large ended the machines that read it. Here, such an entry was accepted with another number: slots became 2, a time of 1e300 ms became a time point of any value, and a start time beyond all others hid every later record of its target.

Cause: the readers converted numbers without a check. A conversion of a double out of range and the overflow of a time point are undefined, and an integer out of range wraps.

--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(operatorRowsAreDecoded);
     CPPUNIT_TEST(malformedTextsNeverThrow);
     CPPUNIT_TEST(deeplyNestedTextsAreRejected);
+    CPPUNIT_TEST(outOfRangeTargetNumbersAreRejected);
+    CPPUNIT_TEST(outOfRangeConfigurationNumbersAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void settingsAreDecoded()
@@ -274,6 +276,57 @@
         CPPUNIT_ASSERT(std::holds_alternative<target_record>(
             decodeTarget("i-1", "{\"extra\":" + nestedArrays(8) + ',' + targetText.substr(1))));
     }
+
+    /// A number too large must not wrap to a usable one, overflow a time point, or hide all later
+    /// records of the target.
+    void outOfRangeTargetNumbersAreRejected()
+    {
+        const std::vector<std::pair<std::string, std::string>> cases = {
+            {"\"slots\":2", "\"slots\":4294967298"},
+            {"\"slots\":2", "\"slots\":9000000000000000000"},
+            {"\"slots\":2", "\"slots\":18446744073709551616"},
+            {"\"slots\":2", "\"slots\":-2"},
+            {"\"slots\":2", "\"slots\":1e400"},
+            {"\"born\":1700000000000", "\"born\":9000000000000000000"},
+            {"\"born\":1700000000000", "\"born\":18446744073709551615"},
+            {"\"born\":1700000000000", "\"born\":-1"},
+            {"\"sequence\":4", "\"sequence\":9000000000000000000"},
+            {"\"sequence\":4", "\"sequence\":18446744073709551615"},
+            {"\"sequence\":4", "\"sequence\":1e400"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":1e300"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":-1e300"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":9000000000000000000"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":1e400"}};
+        for (const auto &[what, with] : cases) {
+            CPPUNIT_ASSERT_MESSAGE(with,
+                                   std::holds_alternative<error>(
+                                       decodeTarget("i-1", replaced(targetText, what, with))));
+        }
+    }
+
+    /// A configuration with a number out of range must not be applied with a wrapped one.
+    void outOfRangeConfigurationNumbersAreRejected()
+    {
+        const std::vector<std::array<std::string, 3>> cases = {
+            {"\"timeoutMs\":1500", "\"timeoutMs\":1e300", "timeoutMs"},
+            {"\"timeoutMs\":1500", "\"timeoutMs\":-1", "timeoutMs"},
+            {"\"priority\":1", "\"priority\":1e300", "priority"},
+            {"\"maxAttempts\":2", "\"maxAttempts\":4294967298", "maxAttempts"},
+            {"\"weight\":90", "\"weight\":4294967386", "weight"},
+            {"\"warmupS\":3.0", "\"warmupS\":1e300", "warmupS"},
+            {"\"warmupPerS\":3.5", "\"warmupPerS\":1e300", "warmupPerS"},
+            {"\"maxHeaderBytes\":16384", "\"maxHeaderBytes\":4294967297", "maxHeaderBytes"},
+            {"\"maxBodyBytes\":1000", "\"maxBodyBytes\":-1", "maxBodyBytes"},
+            {"\"headerTimeoutMs\":3000", "\"headerTimeoutMs\":1e300", "headerTimeoutMs"},
+            {"\"ratePerS\":56", "\"ratePerS\":1e300", "ratePerS"},
+            {"\"burst\":57", "\"burst\":-57", "burst"}};
+        for (const auto &[what, with, field] : cases) {
+            const auto config = decodeDeployment(replaced(configText, what, with));
+            CPPUNIT_ASSERT_MESSAGE(with, std::holds_alternative<error>(config));
+            const std::string text = toString(std::get<error>(config));
+            CPPUNIT_ASSERT_MESSAGE(text, text.find(field) != std::string::npos);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(platform_test, "platform");
