An address with a port out of range names no target

Here, such an entry was accepted, and the port was reduced to 16 bits, so that requests went to the port of another process, or to port 0. Host names were accepted too and failed at each request.

Cause: only the colon was checked when the entry was read; the address was parsed at each connection, without a check of the port.

Fix: one function parses IP:PORT completely, without an exception.

Run before: unusableAddressesAreRejected failed at 10.1.0.9:99999.

--- a/src/Proxy/http_listener.cpp
+++ b/src/Proxy/http_listener.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <charconv>
 #include <deque>
 #include <optional>
 
@@ -32,18 +33,33 @@
 
 } // namespace
 
-tcp::endpoint tcpEndpoint(std::string_view address)
+std::optional<tcp::endpoint> parseEndpoint(std::string_view address)
 {
     const std::size_t colon = address.rfind(':');
-    error_code error;
-    const auto ip = boost::asio::ip::make_address(std::string(address.substr(0, colon)), error);
-    if (error || colon == std::string_view::npos) {
+    // make_address() reads only up to a NUL character.
+    if (colon == std::string_view::npos || address.find('\0') != std::string_view::npos) {
+        return std::nullopt;
+    }
+    error_code ipError;
+    const auto ip = boost::asio::ip::make_address(std::string(address.substr(0, colon)), ipError);
+    const std::string_view portText = address.substr(colon + 1);
+    const char *const end = portText.data() + portText.size();
+    std::uint16_t port = 0;
+    const auto [parsedEnd, portError] = std::from_chars(portText.data(), end, port);
+    if (ipError || portError != std::errc() || parsedEnd != end) {
+        return std::nullopt;
+    }
+    return tcp::endpoint(ip, port);
+}
+
+tcp::endpoint tcpEndpoint(std::string_view address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
         throw boost::system::system_error(make_error_code(boost::system::errc::invalid_argument),
                                           std::string(address));
     }
-    return {ip,
-            static_cast<unsigned short>(
-                std::strtoul(std::string(address.substr(colon + 1)).c_str(), nullptr, 10))};
+    return *endpoint;
 }
 
 void setUpSocket(tcp::socket &socket)
--- a/src/Proxy/http_listener.h
+++ b/src/Proxy/http_listener.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -106,6 +107,9 @@
     std::set<std::shared_ptr<internal::caller_connection>> m_connections;
 };
 
+/// \returns \a address (IP:PORT) as an endpoint, or nothing if it is not one.
+std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
+
 /// \returns \a address (IP:PORT) as an endpoint. \throws boost::system::system_error
 boost::asio::ip::tcp::endpoint tcpEndpoint(std::string_view address);
 
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -131,10 +131,8 @@
 
     void connect()
     {
-        tcp::endpoint endpoint;
-        try {
-            endpoint = tcpEndpoint(m_call.address);
-        } catch (const boost::system::system_error &) {
+        const auto endpoint = parseEndpoint(m_call.address);
+        if (!endpoint) {
             postFailure(call_failure::Refused);
             return;
         }
@@ -146,7 +144,7 @@
                     self->fail(call_failure::Unreachable);
                 }
             });
-        m_socket.async_connect(endpoint, [self = shared_from_this()](error_code error) {
+        m_socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
             self->handleConnect(error);
         });
     }
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(deeplyNestedTextsAreRejected);
     CPPUNIT_TEST(outOfRangeTargetNumbersAreRejected);
     CPPUNIT_TEST(outOfRangeConfigurationNumbersAreRejected);
+    CPPUNIT_TEST(unusableAddressesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void settingsAreDecoded()
@@ -327,6 +328,19 @@
             CPPUNIT_ASSERT_MESSAGE(text, text.find(field) != std::string::npos);
         }
     }
+
+    /// A port out of range must not be reduced to the port of another process.
+    void unusableAddressesAreRejected()
+    {
+        for (const std::string address :
+             {"10.1.0.9:99999", "10.1.0.9:65536", "10.1.0.9:0", "10.1.0.9:", "10.1.0.9:-1",
+              "10.1.0.9:80x", "10.1.0.9: 80", "10.1.0.9", "host:80", ":80", "10.1.0.9:80:90",
+              "10.1.0.9\\u0000:80", "10.1.0.9:18446744073709551696"}) {
+            CPPUNIT_ASSERT_MESSAGE(address,
+                                   std::holds_alternative<error>(decodeTarget(
+                                       "i-1", replaced(targetText, "10.1.0.9:8080", address))));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(platform_test, "platform");
