A target's name must fit into a header field

What could happen: a target's name, which is the key of its entry, becomes a header field of each request and each grant to it. A key with a line break would add fields or requests of its writer's choice.

Cause: the key was not checked when the entry was read.

Run before: targetNamesUnfitForHeadersAreRejected failed.

--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(outOfRangeTargetNumbersAreRejected);
     CPPUNIT_TEST(outOfRangeConfigurationNumbersAreRejected);
     CPPUNIT_TEST(unusableAddressesAreRejected);
+    CPPUNIT_TEST(targetNamesUnfitForHeadersAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void settingsAreDecoded()
@@ -341,6 +342,15 @@
                                        "i-1", replaced(targetText, "10.1.0.9:8080", address))));
         }
     }
+
+    /// A target's name becomes a header field of each request to it.
+    void targetNamesUnfitForHeadersAreRejected()
+    {
+        for (const std::string name : {"", "i-1\r\nX: y", "i 1", "i-\xc3\xa9", "i-\x7f"}) {
+            CPPUNIT_ASSERT_MESSAGE(name,
+                                   std::holds_alternative<error>(decodeTarget(name, targetText)));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(platform_test, "platform");
