A version with a sign or out of range is invalid

What could happen: a configuration of version "r-1" or of a version with too many digits counted as the newest possible one, so that a VM would ignore every later configuration.

Cause: strtoull() accepts a sign and white space, negates, and returns its largest value on overflow.

--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(deeplyNestedTextsAreRejected);
     CPPUNIT_TEST(outOfRangeTargetNumbersAreRejected);
     CPPUNIT_TEST(outOfRangeConfigurationNumbersAreRejected);
+    CPPUNIT_TEST(versionWithSignOrOverflowIsRejected);
     CPPUNIT_TEST(unusableAddressesAreRejected);
     CPPUNIT_TEST(targetNamesUnfitForHeadersAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -330,6 +331,17 @@
         }
     }
 
+    /// A version that wraps to a huge number would make a VM ignore every later configuration.
+    void versionWithSignOrOverflowIsRejected()
+    {
+        for (const std::string version :
+             {"r-1", "r+7", "r 7", "r99999999999999999999", "r", "r0"}) {
+            CPPUNIT_ASSERT_MESSAGE(version,
+                                   std::holds_alternative<error>(decodeDeployment(
+                                       replaced(configText, "\"r7\"", '"' + version + '"'))));
+        }
+    }
+
     /// A port out of range must not be reduced to the port of another process.
     void unusableAddressesAreRejected()
     {
