--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(versionWithSignOrOverflowIsRejected);
     CPPUNIT_TEST(unusableAddressesAreRejected);
     CPPUNIT_TEST(targetNamesUnfitForHeadersAreRejected);
+    CPPUNIT_TEST(handoverThatIsNoTextIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
     void settingsAreDecoded()
@@ -363,6 +364,19 @@
                                    std::holds_alternative<error>(decodeTarget(name, targetText)));
         }
     }
+
+    /// A target may send any bytes as its handover token; encoding them in a grant must not throw.
+    void handoverThatIsNoTextIsIgnored()
+    {
+        call_result result;
+        result.answer.result(200);
+        result.answer.set("Handover", "\xff\xfe");
+        const command_answer answer = decodeCommandAnswer(result);
+        CPPUNIT_ASSERT(answer.outcome == command_outcome::Done);
+        grant_command grant{1, "i-1", 5, {1, 2}, 12, milliseconds(4000), answer.handover};
+        encodeCommand(grant, "10.1.0.9:80");
+        CPPUNIT_ASSERT_EQUAL(std::string(), answer.handover);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(platform_test, "platform");
