--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(versionWithSignOrOverflowIsRejected);
     CPPUNIT_TEST(unusableAddressesAreRejected);
     CPPUNIT_TEST(targetNamesUnfitForHeadersAreRejected);
+    CPPUNIT_TEST(outOfRangeLoadIsRejected);
     CPPUNIT_TEST(handoverThatIsNoTextIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -365,6 +366,16 @@
         }
     }
 
+    void outOfRangeLoadIsRejected()
+    {
+        CPPUNIT_ASSERT(!decodeLoad("4294967299,1,8"));
+        CPPUNIT_ASSERT(!decodeLoad("3,2147483647,8"));
+        CPPUNIT_ASSERT(!decodeLoad("3,-1,8"));
+        CPPUNIT_ASSERT(!decodeLoad("3,1,99999999999999999999999"));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100.0, decodeLoad("3,1,8,1e400")->slowdown, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, decodeLoad("3,1,8,nan")->slowdown, 1e-9);
+    }
+
     /// A target may send any bytes as its handover token; encoding them in a grant must not throw.
     void handoverThatIsNoTextIsIgnored()
     {
