A remaining time of any size is read

What could happen: a request that states a huge remaining time was refused at once with 503, and a target that states a huge warm-up time counted as warm.

Cause: both times were added to the present without a limit, and the sum overflowed.

Run before: hugeRemainingTimeIsBounded failed with 503. After: it passes. The warm-up time has no test of its own.

--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cstdlib>
 
 namespace damaskward {
@@ -41,6 +42,19 @@
     });
 }
 
+/// \returns the time span in milliseconds that \a text states, at most a day, or nothing if it is
+/// not a number.
+std::optional<milliseconds> parseMillis(std::string_view text)
+{
+    if (!isDigits(text)) {
+        return std::nullopt;
+    }
+    constexpr std::int64_t maxMillis = 86400000;
+    std::int64_t millis = 0;
+    const auto error = std::from_chars(text.data(), text.data() + text.size(), millis).ec;
+    return milliseconds(error == std::errc() ? std::min(millis, maxMillis) : maxMillis);
+}
+
 boost::beast::string_view beastView(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -171,13 +185,9 @@
     void readDeadline()
     {
         milliseconds wait = m_route->timeout;
-        const auto left = field(m_router.m_names.remainingTime);
-        if (isDigits(left)) {
-            m_callerDeadline = m_exchange->arrivedAt()
-                + milliseconds(std::strtoll(std::string(left).c_str(), nullptr, 10));
-            wait = std::min(wait,
-                            std::chrono::duration_cast<milliseconds>(m_callerDeadline
-                                                                     - m_exchange->arrivedAt()));
+        if (const auto left = parseMillis(field(m_router.m_names.remainingTime))) {
+            m_callerDeadline = m_exchange->arrivedAt() + *left;
+            wait = std::min(wait, *left);
         }
         m_deadline = m_exchange->arrivedAt() + wait - responseMargin;
         m_deadlineId = m_router.m_deadlines.add(m_deadline, [weak = weak_from_this()] {
@@ -481,10 +491,8 @@
                 m_router.m_demand.queueLengths[m_target] = load->waiting;
             }
         }
-        const auto warmup = fieldOf(answer, names.remainingWarmup);
-        if (isDigits(warmup)) {
-            target_pool::recordWarmup(
-                target, milliseconds(std::strtoll(std::string(warmup).c_str(), nullptr, 10)), now);
+        if (const auto warmup = parseMillis(fieldOf(answer, names.remainingWarmup))) {
+            target_pool::recordWarmup(target, *warmup, now);
         }
     }
 
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -1,15 +1,21 @@
 // HTTP over real sockets: callers' connections (http_listener) and calls to targets
 // (outgoing_pool).
 
+#include "platform/store_client.h"
 #include "src/Proxy/http_listener.h"
 #include "src/Proxy/outgoing_pool.h"
+#include "src/Proxy/request_router.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
 #include <atomic>
+#include <fstream>
+#include <mutex>
 #include <thread>
 
 namespace damaskward {
@@ -140,18 +146,37 @@
     std::unique_ptr<http_listener> m_listener;
 };
 
-/// A target that sends a fixed answer once it has received a request's header.
+/// A target that sends scripted answers, each once it has received a request's header. It serves
+/// its connections concurrently.
 class scripted_target
 {
 public:
-    /// \param answers one for each request, counted over all connections; the last one is repeated
-    /// \param closesAfterAnswer whether to close the connection after each answer
-    scripted_target(std::vector<std::string> answers, bool closesAfterAnswer)
+    struct answer
+    {
+        std::string text;
+        std::string endless{}; ///< repeated after the text until the caller closes the connection
+        std::string late{}; ///< sent 30 ms after the text
+    };
+    /// \returns the answer to a request, given the numbers of its connection and of the request,
+    /// counted over all connections from 1
+    using script = std::function<answer(int connection, int request)>;
+
+    scripted_target(script answers, bool closesAfterAnswer)
         : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0})
-        , m_answers(std::move(answers))
+        , m_script(std::move(answers))
         , m_closesAfterAnswer(closesAfterAnswer)
         , m_thread([this] { run(); })
     { }
+    /// \param answers one for each request, counted over all connections; the last one is repeated
+    /// \param closesAfterAnswer whether to close the connection after each answer
+    scripted_target(std::vector<std::string> answers, bool closesAfterAnswer)
+        : scripted_target(
+            [answers = std::move(answers)](int, int request) {
+                const auto index = static_cast<std::size_t>(request) - 1;
+                return answer{answers[std::min(index, answers.size() - 1)], {}};
+            },
+            closesAfterAnswer)
+    { }
     ~scripted_target()
     {
         m_stopping = true;
@@ -159,6 +184,15 @@
         tcp::socket wake(m_context);
         wake.connect(m_acceptor.local_endpoint(), ignored);
         m_thread.join();
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            for (const auto &socket : m_sockets) {
+                socket->shutdown(tcp::socket::shutdown_both, ignored);
+            }
+        }
+        for (std::thread &thread : m_threads) {
+            thread.join();
+        }
     }
 
     std::string address() const
@@ -166,22 +200,25 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
     std::atomic<int> connections{0};
+    std::atomic<int> requests{0};
 
 private:
     void run()
     {
         while (!m_stopping) {
-            tcp::socket socket(m_context);
-            m_acceptor.accept(socket);
+            auto socket = std::make_shared<tcp::socket>(m_context);
+            m_acceptor.accept(*socket);
             if (m_stopping) {
                 return;
             }
-            ++connections;
-            serve(socket);
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_sockets.push_back(socket);
+            m_threads.emplace_back(
+                [this, socket, connection = ++connections] { serve(*socket, connection); });
         }
     }
 
-    void serve(tcp::socket &socket)
+    void serve(tcp::socket &socket, int connection)
     {
         boost::system::error_code error;
         std::string request;
@@ -196,9 +233,18 @@
                 continue;
             }
             request.clear();
-            const std::string &answer = m_answers[std::min(m_nextAnswer++, m_answers.size() - 1)];
-            asio::write(socket, asio::buffer(answer), error);
+            const answer next = m_script(connection, ++requests);
+            asio::write(socket, asio::buffer(next.text), error);
+            if (!next.late.empty()) {
+                std::this_thread::sleep_for(milliseconds(30));
+                asio::write(socket, asio::buffer(next.late), error);
+            }
+            while (!next.endless.empty() && !error && !m_stopping) {
+                asio::write(socket, asio::buffer(next.endless), error);
+            }
             if (m_closesAfterAnswer) {
+                socket.shutdown(tcp::socket::shutdown_both, error);
+                socket.close(error);
                 return;
             }
         }
@@ -206,10 +252,12 @@
 
     asio::io_context m_context;
     tcp::acceptor m_acceptor;
-    std::vector<std::string> m_answers;
-    std::size_t m_nextAnswer = 0;
+    script m_script;
     bool m_closesAfterAnswer;
     std::atomic<bool> m_stopping{false};
+    std::mutex m_mutex; ///< guards the members below
+    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+    std::vector<std::thread> m_threads;
     std::thread m_thread;
 };
 
@@ -219,6 +267,127 @@
         + "\r\n\r\n" + body;
 }
 
+/// A target's statement that it has not run the request \a id, or any request if \a id is empty.
+std::string refusal(const std::string &id)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
+        + (id.empty() ? std::string() : "Id: " + id + "\r\n") + "\r\n";
+}
+
+/// A listener whose requests are routed to one target, which owns all keys of a sharded service.
+/// Requests to `/once/` must not run twice.
+class routed_listener
+{
+public:
+    explicit routed_listener(const std::string &targetAddress)
+        : address("127.0.0.1:" + std::to_string(freePort()))
+    {
+        m_loop.call([&] { start(targetAddress); });
+    }
+    ~routed_listener()
+    {
+        m_loop.call([this] {
+            m_listener.reset();
+            m_router.reset();
+            m_pool->closeIdleTo("t");
+            m_pool.reset();
+        });
+    }
+
+    /// Sends a request with the id 7. \returns the answer
+    std::string post(const std::string &fields = {})
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(tcpEndpoint(address));
+        asio::write(socket,
+                    asio::buffer("POST /once/ HTTP/1.1\r\nHost: a\r\nId: 7\r\nKey: 5\r\n" + fields
+                                 + "Connection: close\r\nContent-Length: 1\r\n\r\nx"));
+        std::string received;
+        boost::system::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(received), ended);
+        return received;
+    }
+
+    std::string address;
+
+private:
+    void start(const std::string &targetAddress)
+    {
+        auto config = std::make_shared<deployment>();
+        config->version = 1;
+        route r;
+        r.name = "once";
+        r.host = "a";
+        r.prefix = "/once/";
+        r.kind = request_kind::NonIdempotent;
+        r.timeout = milliseconds(1500);
+        r.objective = milliseconds(500);
+        r.maxAttempts = 1;
+        r.services = {{service_id("ledger"), 1}};
+        config->routes.push_back(r);
+        config->services[service_id("ledger")].keyed = true;
+        config->indexRoutes();
+
+        target_record target;
+        target.name = "t";
+        target.service = service_id("ledger");
+        target.dataCenter = data_center_id("near");
+        target.address = targetAddress;
+        target.slots = 4;
+        m_targets.applyRegistry({target}, mono_clock::now());
+
+        header_names names;
+        names.requestId = "Id";
+        names.remainingTime = "Left";
+        names.apiKey = "Api-Key";
+        names.team = "Team";
+        names.expectedTarget = "Expected";
+        names.targetProof = "Proof";
+        names.load = "Load";
+        names.notRun = "Not-Run";
+        names.remainingWarmup = "Warmup";
+        names.shardKey = "Key";
+        names.retryAfter = "Retry-After";
+        names.decodeLoad = [](std::string_view) { return std::optional<load_report>(); };
+        m_pool = std::make_unique<outgoing_pool>(m_loop.loop, m_loop.deadlines, "Id");
+        m_router = std::make_unique<request_router>(m_loop.deadlines, *m_pool, m_targets, m_tokens,
+                                                    names, m_log, m_metrics, [] {});
+        m_router->setRetryLimits(1.0, 10.0);
+        m_router->setDeployment(config);
+        range_owner owner;
+        owner.keys = {0, keyCount - 1};
+        owner.target = "t";
+        range_map owners;
+        owners.owners.push_back(owner);
+        m_router->setOwners(service_id("ledger"), owners);
+        m_listener = std::make_unique<http_listener>(
+            m_loop.loop, m_loop.deadlines, address, [] { return caller_limits(); },
+            [this](std::shared_ptr<http_exchange> exchange) {
+                m_router->serve(std::move(exchange));
+            });
+    }
+
+    loop_thread m_loop;
+    target_pool m_targets{data_center_id("near")};
+    rate_limiter m_tokens{"vm-1", [](std::string_view) { return std::optional<fleet_limit>(); },
+                          [] { return 1.0; }};
+    request_log m_log{"vm-1", -1};
+    metrics m_metrics;
+    std::unique_ptr<outgoing_pool> m_pool;
+    std::unique_ptr<request_router> m_router;
+    std::unique_ptr<http_listener> m_listener;
+};
+
+/// \returns the memory of this process that is resident, in MiB.
+std::size_t residentMegabytes()
+{
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    std::ifstream("/proc/self/statm") >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE)) >> 20U;
+}
+
 class transport_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(transport_test);
@@ -238,6 +407,7 @@
     CPPUNIT_TEST(closeWithoutAnswerIsLost);
     CPPUNIT_TEST(refusedConnectionSentNothing);
     CPPUNIT_TEST(unresponsiveTargetTimesOut);
+    CPPUNIT_TEST(hugeRemainingTimeIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
     static int count(const std::string &text, const std::string &part)
@@ -456,6 +626,34 @@
         CPPUNIT_ASSERT(sendCalls(target.address(), 1, milliseconds(150)).failure
                        == call_failure::TimedOut);
     }
+
+    /// A caller's remaining time must not overflow the time point of its deadline.
+    void hugeRemainingTimeIsBounded()
+    {
+        scripted_target target(
+            {"HTTP/1.1 200 OK\r\nId: 7\r\nProof: p\r\nContent-Length: 0\r\n\r\n"}, false);
+        routed_listener listener(target.address());
+        for (const std::string left : {"9223372036854775807", "99999999999999999999"}) {
+            const std::string answer = listener.post("Left: " + left + "\r\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::size_t{0}, answer.find("HTTP/1.1 200"));
+        }
+    }
+
+    /// Calls a target that sends \a text and then \a endless without end, and expects the call to
+    /// fail as invalid long before its deadline.
+    static void expectInvalid(const std::string &text, const std::string &endless)
+    {
+        scripted_target target(
+            [&](int, int) {
+                return scripted_target::answer{text, endless};
+            },
+            false);
+        const std::size_t before = residentMegabytes();
+        const call_failure failure = sendCalls(target.address(), 1, milliseconds(3000)).failure;
+        CPPUNIT_ASSERT_MESSAGE(text, failure == call_failure::InvalidAnswer);
+        constexpr std::size_t maxGrowth = 64;
+        CPPUNIT_ASSERT(residentMegabytes() < before + maxGrowth);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(transport_test, "transport");
