One row that cannot be read leaves the others in use

What was seen: another operator reports that machines stopped following the list of targets because of one odd entry. Here, a row of the store's answer with a missing value or a field of another type made the whole page fail, and with it every read of the table.

Cause: the page was decoded as a unit; the first invalid field threw.

--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -407,6 +407,7 @@
     CPPUNIT_TEST(closeWithoutAnswerIsLost);
     CPPUNIT_TEST(refusedConnectionSentNothing);
     CPPUNIT_TEST(unresponsiveTargetTimesOut);
+    CPPUNIT_TEST(oddStoreRowLeavesTheOthers);
     CPPUNIT_TEST(hugeRemainingTimeIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -627,6 +628,49 @@
                        == call_failure::TimedOut);
     }
 
+    /// One row that cannot be read must not hide the other rows of a table.
+    void oddStoreRowLeavesTheOthers()
+    {
+        const std::string body =
+            R"({"ver":9,"hasMore":false,"rows":[)"
+            R"({"key":"a","ver":1,"value":"QQ=="},{"key":"b","ver":2},)"
+            R"({"key":"c","ver":3,"value":7},{"key":"d","ver":1e300,"value":"QQ=="},)"
+            R"({"key":"e","ver":4,"value":"***"},{"key":5,"ver":5,"value":"QQ=="},[1],null,)"
+            R"({"key":"z","ver":6,"value":"Qg=="}]})";
+        scripted_target target({"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                                + "\r\n\r\n" + body},
+                               false);
+        loop_thread loop;
+        std::unique_ptr<outgoing_pool> pool;
+        std::unique_ptr<platform::store_client> store;
+        std::atomic<bool> done{false};
+        row_result result;
+        loop.call([&] {
+            pool = std::make_unique<outgoing_pool>(loop.loop, loop.deadlines, "Id");
+            store = std::make_unique<platform::store_client>(*pool, target.address());
+            store->read("servers", "", [&](row_result &&r) {
+                result = std::move(r);
+                done = true;
+            });
+        });
+        while (!done) {
+            std::this_thread::yield();
+        }
+        loop.call([&] {
+            pool->closeIdleTo("store");
+            pool.reset();
+        });
+        CPPUNIT_ASSERT(std::holds_alternative<row_set>(result));
+        std::map<std::string, std::string> values;
+        for (const table_row &row : std::get<row_set>(result).rows) {
+            CPPUNIT_ASSERT(!row.deleted);
+            values[row.name] = row.value;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("A"), values["a"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("B"), values["z"]);
+        CPPUNIT_ASSERT_EQUAL(std::string(), values["b"]);
+    }
+
     /// A caller's remaining time must not overflow the time point of its deadline.
     void hugeRemainingTimeIsBounded()
     {
