An answer without an id is not believed on a reused connection

What was seen: another operator reports that a target wrote an earlier refusal once more on a kept connection, and callers were told that their request had not run although it had. Here this happened with a refusal that carries no id; one with an earlier id was skipped already.

Cause: an answer without an id was accepted as the answer to any call. Only on a new connection is it certain that it belongs to the call in flight.

Fix: on a reused connection, an answer without an id is skipped like one with another id, the call waits for its own, and the connection is not used again. On a new connection such an answer is still accepted.

Run before: answerWithoutIdIsSkippedOnAKeptConnection received the refusal. After: it passes.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -67,6 +67,7 @@
         m_call = std::move(call);
         m_callback = std::move(done);
         m_isWritten = false;
+        m_isReused = m_isConnected;
         m_deadline = m_pool.m_deadlines.add(m_call.deadline, [weak = weak_from_this(), callId] {
             const auto self = weak.lock();
             if (self && self->m_callId == callId) {
@@ -268,9 +269,8 @@
         if (answer.result_int() < firstFinalStatus) {
             return;
         }
-        const auto id = fieldOf(answer, m_pool.m_idField);
-        if (!m_call.expectedAnswerId.empty() && !id.empty() && id != m_call.expectedAnswerId) {
-            m_hasStrayAnswer = true; // A duplicate answer, or a late answer to an earlier call.
+        if (isStray(answer)) {
+            m_hasStrayAnswer = true;
             return;
         }
         const bool keep = m_isWritten && !m_hasStrayAnswer && !m_endsWithConnection
@@ -287,6 +287,15 @@
         done({call_failure::None, std::move(answer)});
     }
 
+    /// \returns whether \a answer is a duplicate, or a late answer to an earlier call. On a reused
+    /// connection that includes one without an id.
+    bool isStray(const http_answer &answer) const
+    {
+        const auto id = fieldOf(answer, m_pool.m_idField);
+        return !m_call.expectedAnswerId.empty()
+            && (id.empty() ? m_isReused : id != m_call.expectedAnswerId);
+    }
+
     void becomeIdle(duration span)
     {
         m_idleSince = mono_clock::now();
@@ -331,8 +340,9 @@
     time_point m_idleSince{};
     time_point m_idleUntil{};
     bool m_isConnected = false;
+    bool m_isReused = false; ///< it carried another call before the present one
     bool m_isWritten = false;
-    bool m_hasStrayAnswer = false; ///< received an answer with another call's id
+    bool m_hasStrayAnswer = false; ///< received an answer that belongs to no present call
     bool m_endsWithConnection = false; ///< the end of the connection delimits the answer's body
     bool m_isClosed = false;
 };
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -51,7 +51,9 @@
     std::string head; ///< request line and fields with the empty line
     std::string body;
     bool isHeadRequest = false; ///< the answer has no body (HEAD)
-    std::string expectedAnswerId; ///< answers with another id are skipped; empty accepts any answer
+    /// Answers with another id are skipped, and on a reused connection those without one; empty
+    /// accepts any answer.
+    std::string expectedAnswerId;
     time_point deadline{};
     bool freshOnly = false; ///< skip connections idle for long: the peer may have dropped them
 };
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -408,6 +408,7 @@
     CPPUNIT_TEST(refusedConnectionSentNothing);
     CPPUNIT_TEST(unresponsiveTargetTimesOut);
     CPPUNIT_TEST(oddStoreRowLeavesTheOthers);
+    CPPUNIT_TEST(answerWithoutIdIsSkippedOnAKeptConnection);
     CPPUNIT_TEST(hugeRemainingTimeIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -671,6 +672,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), values["b"]);
     }
 
+    /// A kept connection may carry a late refusal without an id, which belongs to no call.
+    void answerWithoutIdIsSkippedOnAKeptConnection()
+    {
+        scripted_target target({okAnswer("1", "a"), refusal("") + okAnswer("2", "b")}, false);
+        const call_result result = sendCalls(target.address(), 2);
+        CPPUNIT_ASSERT(result.failure == call_failure::None);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), result.answer.body());
+        CPPUNIT_ASSERT_EQUAL(1, target.connections.load());
+
+        scripted_target firstAnswer({refusal("")}, false); // Can only be the answer to its call.
+        CPPUNIT_ASSERT_EQUAL(503U, sendCalls(firstAnswer.address(), 1).answer.result_int());
+    }
+
     /// A caller's remaining time must not overflow the time point of its deadline.
     void hugeRemainingTimeIsBounded()
     {
