A stray answer up to the end of its connection ends its call

What callers saw: no answer before their deadline, and then 504, if a target sent an answer that belonged to another request and then closed the connection.

Cause: an answer without a length is complete when its connection ends. As it was skipped, the call stayed open on a connection that nothing read any more, and its result was never reported.

Fix: the call is reported as lost.

Run before: strayAnswerUpToTheEndIsLost did not end. After: it passes.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -256,6 +256,9 @@
             if (!parseError && m_parser->is_done()) {
                 m_endsWithConnection = true;
                 handleAnswer(m_parser->release());
+                if (m_callback) {
+                    fail(call_failure::Lost); // It was not the answer to this call.
+                }
                 return;
             }
         }
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -409,6 +409,7 @@
     CPPUNIT_TEST(unresponsiveTargetTimesOut);
     CPPUNIT_TEST(oddStoreRowLeavesTheOthers);
     CPPUNIT_TEST(answerWithoutIdIsSkippedOnAKeptConnection);
+    CPPUNIT_TEST(strayAnswerUpToTheEndIsLost);
     CPPUNIT_TEST(hugeRemainingTimeIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -685,6 +686,13 @@
         CPPUNIT_ASSERT_EQUAL(503U, sendCalls(firstAnswer.address(), 1).answer.result_int());
     }
 
+    /// A stray answer whose end is that of the connection must not leave its call waiting.
+    void strayAnswerUpToTheEndIsLost()
+    {
+        scripted_target target({"HTTP/1.1 200 OK\r\nId: 9\r\n\r\nabc"}, true);
+        CPPUNIT_ASSERT(sendCalls(target.address(), 1).failure == call_failure::Lost);
+    }
+
     /// A caller's remaining time must not overflow the time point of its deadline.
     void hugeRemainingTimeIsBounded()
     {
