A retry at the target that refused it uses a new connection

Here, a request for a key that its owner had refused was sent again on the same connection. When the owner repeated its refusal there while it ran the retry, the request was sent a third time and ran twice.

Cause: a retry has the id of the request, so that on the connection that carried the refusal, a repetition of it cannot be told from the answer to the retry.

Fix: a request that must not run twice is sent to a target that refused it only on a new connection, on which no earlier answer can arrive. Others still use a kept connection, as it does no harm to run them again.

Run before: repeatedRefusalIsNotTheAnswerToARetry counted two executions instead of one. After: it passes.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -389,7 +389,8 @@
 
 call_handle outgoing_pool::send(outgoing_call &&call, callback done)
 {
-    connection_ptr connection = takeIdle(call.connectionKey, call.freshOnly);
+    connection_ptr connection =
+        call.needsNewConnection ? nullptr : takeIdle(call.connectionKey, call.freshOnly);
     if (!connection) {
         connection = std::make_shared<internal::outgoing_connection>(*this, call.connectionKey);
     }
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -56,6 +56,7 @@
     std::string expectedAnswerId;
     time_point deadline{};
     bool freshOnly = false; ///< skip connections idle for long: the peer may have dropped them
+    bool needsNewConnection = false; ///< send on a connection that has carried no other call
 };
 
 namespace internal {
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -392,6 +392,8 @@
         call.expectedAnswerId = std::string(field(m_router.m_names.requestId));
         call.deadline = m_deadline;
         call.freshOnly = !mayRepeat(m_route->kind);
+        // A refusal that the target repeats has the same id as the answer to the retry.
+        call.needsNewConnection = !mayRepeat(m_route->kind) && m_refusedBy.count(m_target) != 0;
         m_call = m_router.m_pool.send(std::move(call),
                                       [self = shared_from_this()](call_result &&result) {
                                           self->handleResult(std::move(result));
@@ -520,6 +522,7 @@
             target->inFlight = std::max(0, target->inFlight - 1);
         }
         logTry(misdirected ? "misdirected" : "shed", now);
+        m_refusedBy.insert(m_target);
         if (m_key) {
             if (!misdirected && target && queueIsFull(*target)) {
                 // Only the owner can run the request, and its full queue takes a while to drain.
@@ -784,6 +787,7 @@
     deadline_queue::deadline_id m_wakeUpId = 0;
     std::string m_target; ///< the target of the last send
     std::set<std::string> m_tried;
+    std::set<std::string> m_refusedBy; ///< targets that stated that they had not run the request
     call_handle m_call;
     std::optional<http_answer> m_fallback; ///< a target's error answer, used if no retry succeeds
     int m_executions = 0; ///< sends that a target ran or may have run
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -410,6 +410,7 @@
     CPPUNIT_TEST(oddStoreRowLeavesTheOthers);
     CPPUNIT_TEST(answerWithoutIdIsSkippedOnAKeptConnection);
     CPPUNIT_TEST(strayAnswerUpToTheEndIsLost);
+    CPPUNIT_TEST(repeatedRefusalIsNotTheAnswerToARetry);
     CPPUNIT_TEST(hugeRemainingTimeIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -693,6 +694,45 @@
         CPPUNIT_ASSERT(sendCalls(target.address(), 1).failure == call_failure::Lost);
     }
 
+    /// A target that repeats its refusal of a request must not be taken to refuse the retry, which
+    /// has the same id and may run.
+    void repeatedRefusalIsNotTheAnswerToARetry()
+    {
+        std::atomic<int> executions{0};
+        scripted_target target(
+            [&](int, int request) {
+                if (request == 1) {
+                    return scripted_target::answer{refusal("7"), {}};
+                }
+                ++executions;
+                return scripted_target::answer{
+                    "HTTP/1.1 200 OK\r\nId: 7\r\nProof: p\r\nContent-Length: 4\r\n\r\ndone",
+                    {},
+                    {}};
+            },
+            false);
+        scripted_target repeating(
+            [&](int connection, int request) {
+                if (request == 1) {
+                    return scripted_target::answer{refusal("7"), {}};
+                }
+                ++executions;
+                return scripted_target::answer{
+                    (connection == 1 ? refusal("7") : std::string())
+                        + "HTTP/1.1 200 OK\r\nId: 7\r\nProof: p\r\nContent-Length: 4\r\n\r\ndone",
+                    {},
+                    {}};
+            },
+            false);
+        for (scripted_target *each : {&target, &repeating}) {
+            executions = 0;
+            routed_listener listener(each->address());
+            const std::string answer = listener.post();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::size_t{0}, answer.find("HTTP/1.1 200"));
+            CPPUNIT_ASSERT_EQUAL(1, executions.load());
+        }
+    }
+
     /// A caller's remaining time must not overflow the time point of its deadline.
     void hugeRemainingTimeIsBounded()
     {
