A status that promises too much is not forwarded

What callers saw: 408, 429 or 503, which promise that a request has not run and will not, for a request that the target may have run. They then sent it again.

Cause: a target's answer with such a status was forwarded even if the target did not state that it had not run the request.

Fix: for requests that must not run twice, such an answer counts as an unknown outcome and becomes 502, which promises nothing.

Run before: unprovenRefusalIsNotForwarded received 408. After: it passes.

--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -55,6 +55,14 @@
     return milliseconds(error == std::errc() ? std::min(millis, maxMillis) : maxMillis);
 }
 
+/// \returns whether \a status tells the caller that its request has not run and will not.
+bool promisesNotRun(unsigned status)
+{
+    return status == static_cast<unsigned>(http::status::request_timeout)
+        || status == static_cast<unsigned>(http::status::too_many_requests)
+        || status == static_cast<unsigned>(http::status::service_unavailable);
+}
+
 boost::beast::string_view beastView(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -466,6 +474,11 @@
             retryOrFail("answer is not the target's", now);
             return;
         }
+        if (promisesNotRun(status) && !mayRepeat(m_route->kind)) {
+            m_mayHaveRun = true;
+            fail("target did not state that the request has not run");
+            return;
+        }
         if (status >= firstServerError && mayRepeat(m_route->kind) && acquireRetry(now)) {
             m_fallback = std::move(result.answer);
             retry(now);
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -411,6 +411,7 @@
     CPPUNIT_TEST(answerWithoutIdIsSkippedOnAKeptConnection);
     CPPUNIT_TEST(strayAnswerUpToTheEndIsLost);
     CPPUNIT_TEST(repeatedRefusalIsNotTheAnswerToARetry);
+    CPPUNIT_TEST(unprovenRefusalIsNotForwarded);
     CPPUNIT_TEST(hugeRemainingTimeIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -733,6 +734,23 @@
         }
     }
 
+    /// A status that promises that a request has not run is forwarded only if its target says so.
+    void unprovenRefusalIsNotForwarded()
+    {
+        for (const std::string status : {"408", "429", "503"}) {
+            for (const std::string proof : {"", "Proof: p\r\n"}) {
+                std::string text = "HTTP/1.1 ";
+                text.append(status).append(" No\r\nId: 7\r\n").append(proof);
+                scripted_target target({text.append("Content-Length: 0\r\n\r\n")}, false);
+                routed_listener listener(target.address());
+                const std::string answer = listener.post();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::size_t{0}, answer.find("HTTP/1.1 502"));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::string::npos, answer.find("Proof"));
+                CPPUNIT_ASSERT_EQUAL(1, target.requests.load());
+            }
+        }
+    }
+
     /// A caller's remaining time must not overflow the time point of its deadline.
     void hugeRemainingTimeIsBounded()
     {
