An answer's Content-Length above the limit is invalid

Cause: when eager, the parser of Boost 1.74 goes on to the body after it has found that its length exceeds the limit, and overwrites the error. It then reserves memory for the stated length, and reads a body of that length without a limit.

Fix: the parser is not eager. It returns after the header, with the error; the loop around it already takes up where it stopped. A request with such a length is refused before and after; the parser keeps the error there.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -238,7 +238,8 @@
     void startParser()
     {
         m_parser.emplace();
-        m_parser->eager(true);
+        // When eager, Boost 1.74 reads on past a Content-Length above the limit.
+        m_parser->eager(false);
         m_parser->header_limit(maxAnswerHeaderBytes);
         m_parser->body_limit(maxAnswerBytes);
         m_parser->skip(m_call.isHeadRequest);
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -413,6 +413,11 @@
     CPPUNIT_TEST(repeatedRefusalIsNotTheAnswerToARetry);
     CPPUNIT_TEST(unprovenRefusalIsNotForwarded);
     CPPUNIT_TEST(hugeRemainingTimeIsBounded);
+    CPPUNIT_TEST(bytesOnIdleConnectionCloseIt);
+    CPPUNIT_TEST(endlessHeaderIsInvalid);
+    CPPUNIT_TEST(endlessBodyIsInvalid);
+    CPPUNIT_TEST(oversizedBodyIsInvalid);
+    CPPUNIT_TEST(oversizedRequestBodyIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     static int count(const std::string &text, const std::string &part)
@@ -763,6 +768,21 @@
         }
     }
 
+    /// Bytes that no call asked for end their connection, also if they come after the answer.
+    void bytesOnIdleConnectionCloseIt()
+    {
+        scripted_target target(
+            [](int, int request) {
+                const std::string id = std::to_string(request);
+                return scripted_target::answer{okAnswer(id, "a") + refusal(id), {}};
+            },
+            false);
+        const call_result result = sendCalls(target.address(), 3);
+        CPPUNIT_ASSERT(result.failure == call_failure::None);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), result.answer.body());
+        CPPUNIT_ASSERT_EQUAL(3, target.connections.load());
+    }
+
     /// Calls a target that sends \a text and then \a endless without end, and expects the call to
     /// fail as invalid long before its deadline.
     static void expectInvalid(const std::string &text, const std::string &endless)
@@ -778,6 +798,51 @@
         constexpr std::size_t maxGrowth = 64;
         CPPUNIT_ASSERT(residentMegabytes() < before + maxGrowth);
     }
+
+    void endlessHeaderIsInvalid()
+    {
+        expectInvalid("HTTP/1.1 200 OK\r\nId: 1\r\nX: ", std::string(1000, 'x'));
+        expectInvalid("HTTP/1.1 200 ", std::string(1000, 'x'));
+        expectInvalid("HTTP/1.1 200 OK\r\n", "X: y\r\n");
+        expectInvalid("", "x");
+    }
+
+    void endlessBodyIsInvalid()
+    {
+        const std::string filler(100000, 'x');
+        expectInvalid("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", filler);
+        expectInvalid("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                      "186a0\r\n" + filler + "\r\n");
+    }
+
+    /// The limit of an answer's body applies before memory is reserved for it, also if the first of
+    /// the body arrives together with the header.
+    void oversizedBodyIsInvalid()
+    {
+        const std::string header = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: ";
+        const std::string filler(100000, 'x');
+        expectInvalid(header + "99999999999\r\n\r\n", filler);
+        expectInvalid(header + "99999999999\r\n\r\nx", filler);
+        expectInvalid(header + "200000000\r\n\r\nx", filler);
+    }
+
+    /// The same for the body of a caller's request.
+    void oversizedRequestBodyIsRefused()
+    {
+        caller_limits limits;
+        limits.bodyBytes = 100;
+        for (const std::string length : {"101", "99999999999"}) {
+            for (const std::size_t sent : {std::size_t{0}, std::size_t{1}, std::size_t{50000}}) {
+                echo_server server(limits);
+                const std::string received =
+                    server.sendAndReceive("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: " + length
+                                          + "\r\n\r\n" + std::string(sent, 'x'));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(received, std::size_t{0},
+                                             received.find("HTTP/1.1 413"));
+                CPPUNIT_ASSERT_EQUAL(0, server.served.load());
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(transport_test, "transport");
