Chunk headers and trailers of answers are limited

What could happen: a target that sends a chunk extension or a trailer without end filled the memory of the VM until the deadline of the request.

Cause: the parser limits the header and the body of an answer, but waits for the end of a chunk header or a trailer without a limit, and the connection kept all bytes that the parser had not accepted.

Fix: the call fails as invalid once more bytes wait for the parser than a header may have.

Run before: endlessChunkHeaderIsInvalid and endlessTrailerIsInvalid timed out. After: both pass. callersEndlessChunkHeaderTimesOut passed before and shows that the listener limits a caller's chunk header already.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -222,10 +222,14 @@
             const std::size_t used = m_parser->put(m_buffer.data(), error);
             m_buffer.consume(used);
             if (error == http::error::need_more || (!error && !m_parser->is_done())) {
-                if (used == 0 || m_buffer.size() == 0) {
-                    return;
+                if (used != 0 && m_buffer.size() != 0) {
+                    continue;
+                }
+                // The parser limits the header and the body, but not a chunk header or a trailer.
+                if (m_buffer.size() > maxAnswerHeaderBytes) {
+                    fail(call_failure::InvalidAnswer);
                 }
-                continue;
+                return;
             }
             if (error) {
                 fail(call_failure::InvalidAnswer);
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -418,6 +418,9 @@
     CPPUNIT_TEST(endlessBodyIsInvalid);
     CPPUNIT_TEST(oversizedBodyIsInvalid);
     CPPUNIT_TEST(oversizedRequestBodyIsRefused);
+    CPPUNIT_TEST(endlessChunkHeaderIsInvalid);
+    CPPUNIT_TEST(endlessTrailerIsInvalid);
+    CPPUNIT_TEST(callersEndlessChunkHeaderTimesOut);
     CPPUNIT_TEST_SUITE_END();
 
     static int count(const std::string &text, const std::string &part)
@@ -843,6 +846,57 @@
             }
         }
     }
+
+    void endlessChunkHeaderIsInvalid()
+    {
+        expectInvalid("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;a=",
+                      std::string(100000, 'x'));
+    }
+
+    void endlessTrailerIsInvalid()
+    {
+        expectInvalid("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                      std::string("X: ") + std::string(100000, 'x') + "\r\n");
+    }
+
+    /// The listener stops reading a chunk header without end, and its idle timeout applies.
+    void callersEndlessChunkHeaderTimesOut()
+    {
+        caller_limits limits;
+        limits.idleTimeout = milliseconds(200);
+        echo_server server(limits);
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(tcpEndpoint(server.address));
+        std::atomic<bool> isClosed{false};
+        std::thread sender([&] {
+            boost::system::error_code error;
+            asio::write(socket,
+                        asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: a\r\n"
+                                                 "Transfer-Encoding: chunked\r\n\r\n1;a=")),
+                        error);
+            const std::string filler(100000, 'x');
+            while (!error) {
+                asio::write(socket, asio::buffer(filler), error);
+            }
+            isClosed = true;
+        });
+        const std::size_t before = residentMegabytes();
+        std::size_t highest = before;
+        const time_point end = mono_clock::now() + seconds(5);
+        while (!isClosed && mono_clock::now() < end) {
+            highest = std::max(highest, residentMegabytes());
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        const bool closedInTime = isClosed;
+        boost::system::error_code ignored;
+        socket.shutdown(tcp::socket::shutdown_both, ignored);
+        sender.join();
+        CPPUNIT_ASSERT(closedInTime);
+        constexpr std::size_t maxGrowth = 32;
+        CPPUNIT_ASSERT(highest < before + maxGrowth);
+        CPPUNIT_ASSERT_EQUAL(0, server.served.load());
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(transport_test, "transport");
