Interim and stray answers are limited in number

What could happen: a target that sends interim answers (1xx) or answers to other requests without end kept a connection of the VM busy until the deadline of the request.

Cause: such answers were skipped without a limit.

Fix: the call fails as invalid after 16 of them.

Run before: endlessInterimAnswersAreInvalid and endlessStrayAnswersAreInvalid timed out. After: both pass.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -24,6 +24,8 @@
 /// Larger than any answer of the platform's tables or of a target.
 constexpr std::uint64_t maxAnswerBytes = 16U << 20U;
 constexpr std::uint32_t maxAnswerHeaderBytes = 65536;
+/// Interim and stray answers skipped per call: a few times what a faulty peer repeats.
+constexpr int maxSkippedAnswers = 16;
 /// A reachable peer accepts a connection within a few round trips.
 constexpr milliseconds connectTimeout{300};
 /// How long an idle connection is kept if its peer states no `Keep-Alive: timeout`.
@@ -68,6 +70,7 @@
         m_callback = std::move(done);
         m_isWritten = false;
         m_isReused = m_isConnected;
+        m_skippedAnswers = 0;
         m_deadline = m_pool.m_deadlines.add(m_call.deadline, [weak = weak_from_this(), callId] {
             const auto self = weak.lock();
             if (self && self->m_callId == callId) {
@@ -274,11 +277,12 @@
     {
         m_parser.reset();
         constexpr unsigned firstFinalStatus = 200;
-        if (answer.result_int() < firstFinalStatus) {
-            return;
-        }
-        if (isStray(answer)) {
-            m_hasStrayAnswer = true;
+        const bool isInterim = answer.result_int() < firstFinalStatus;
+        if (isInterim || isStray(answer)) {
+            m_hasStrayAnswer = m_hasStrayAnswer || !isInterim;
+            if (++m_skippedAnswers > maxSkippedAnswers) {
+                fail(call_failure::InvalidAnswer);
+            }
             return;
         }
         const bool keep = m_isWritten && !m_hasStrayAnswer && !m_endsWithConnection
@@ -347,6 +351,7 @@
     deadline_queue::deadline_id m_idleDeadline = 0;
     time_point m_idleSince{};
     time_point m_idleUntil{};
+    int m_skippedAnswers = 0; ///< interim and stray answers since the call was sent
     bool m_isConnected = false;
     bool m_isReused = false; ///< it carried another call before the present one
     bool m_isWritten = false;
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -420,6 +420,8 @@
     CPPUNIT_TEST(oversizedRequestBodyIsRefused);
     CPPUNIT_TEST(endlessChunkHeaderIsInvalid);
     CPPUNIT_TEST(endlessTrailerIsInvalid);
+    CPPUNIT_TEST(endlessInterimAnswersAreInvalid);
+    CPPUNIT_TEST(endlessStrayAnswersAreInvalid);
     CPPUNIT_TEST(callersEndlessChunkHeaderTimesOut);
     CPPUNIT_TEST_SUITE_END();
 
@@ -859,6 +861,10 @@
                       std::string("X: ") + std::string(100000, 'x') + "\r\n");
     }
 
+    void endlessInterimAnswersAreInvalid() { expectInvalid("", "HTTP/1.1 100 Continue\r\n\r\n"); }
+
+    void endlessStrayAnswersAreInvalid() { expectInvalid("", okAnswer("9", "stray")); }
+
     /// The listener stops reading a chunk header without end, and its idle timeout applies.
     void callersEndlessChunkHeaderTimesOut()
     {
