Incomplete answers share a limit of memory

What could happen: targets that send bodies without end used up the memory of the VM, though each answer was limited.

Cause: the limit of 16 MiB applies to one answer. With 30 such answers at once, the process grew by 468 MiB; it may use about 260 MB.

Fix: the incomplete answers of a pool together hold at most 64 MiB. Beyond that, the largest fails as invalid, which is the one least likely to end.

Run before: endlessBodiesTogetherStayBounded failed with a growth of 468 MiB. After: it passes, with a bound of 160 MiB on the growth.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -24,6 +24,8 @@
 /// Larger than any answer of the platform's tables or of a target.
 constexpr std::uint64_t maxAnswerBytes = 16U << 20U;
 constexpr std::uint32_t maxAnswerHeaderBytes = 65536;
+/// Bytes of all incomplete answers together, a quarter of a VM's usual memory.
+constexpr std::size_t maxHeldBytes = 64U << 20U;
 /// Interim and stray answers skipped per call: a few times what a faulty peer repeats.
 constexpr int maxSkippedAnswers = 16;
 /// A reachable peer accepts a connection within a few round trips.
@@ -106,6 +108,7 @@
             return;
         }
         m_isClosed = true;
+        setHeldBytes(0);
         m_pool.m_deadlines.remove(m_deadline);
         m_pool.m_deadlines.remove(m_connectDeadline);
         m_pool.m_deadlines.remove(m_idleDeadline);
@@ -130,6 +133,18 @@
 
     void stopIdleTimer() { m_pool.m_deadlines.remove(m_idleDeadline); }
 
+    std::size_t heldBytes() const { return m_heldBytes; }
+
+    void fail(call_failure failure)
+    {
+        const auto done = std::move(m_callback);
+        m_callback = nullptr;
+        abort();
+        if (done) {
+            done({failure, {}});
+        }
+    }
+
 private:
     using answer_parser = http::response_parser<http::string_body>;
 
@@ -210,7 +225,11 @@
         }
         if (error) {
             handleReadError(error);
-        } else {
+            return;
+        }
+        setHeldBytes(m_buffer.size() + (m_parser ? m_parser->get().body().size() : 0));
+        m_pool.limitHeldBytes();
+        if (!m_isClosed) {
             read();
         }
     }
@@ -322,13 +341,14 @@
         });
     }
 
-    void fail(call_failure failure)
+    void setHeldBytes(std::size_t bytes)
     {
-        const auto done = std::move(m_callback);
-        m_callback = nullptr;
-        abort();
-        if (done) {
-            done({failure, {}});
+        m_pool.m_heldBytes = m_pool.m_heldBytes - m_heldBytes + bytes;
+        m_heldBytes = bytes;
+        if (bytes == 0) {
+            m_pool.m_receiving.erase(this);
+        } else {
+            m_pool.m_receiving.insert(this);
         }
     }
 
@@ -352,6 +372,7 @@
     time_point m_idleSince{};
     time_point m_idleUntil{};
     int m_skippedAnswers = 0; ///< interim and stray answers since the call was sent
+    std::size_t m_heldBytes = 0; ///< received of an answer that is not complete
     bool m_isConnected = false;
     bool m_isReused = false; ///< it carried another call before the present one
     bool m_isWritten = false;
@@ -410,6 +431,20 @@
     return handle;
 }
 
+/// Ends the largest incomplete answer if all together hold too much memory.
+void outgoing_pool::limitHeldBytes()
+{
+    if (m_heldBytes <= maxHeldBytes) {
+        return;
+    }
+    const auto largest =
+        std::max_element(m_receiving.begin(), m_receiving.end(), [](const auto *a, const auto *b) {
+            return a->heldBytes() < b->heldBytes();
+        });
+    const auto connection = (*largest)->shared_from_this();
+    connection->fail(call_failure::InvalidAnswer);
+}
+
 void outgoing_pool::closeIdleTo(const std::string &peer)
 {
     const auto it = m_idle.find(peer);
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -87,7 +88,7 @@
 /// \brief Sends calls over persistent connections and reads their answers. Event loop thread only.
 ///
 /// The pool never retries a call. An answer with the id of another call is skipped, and its
-/// connection is not reused.
+/// connection is not reused. An answer without end is cut off, and its call fails.
 ///
 /// \code
 /// pool.send(std::move(call), [](call_result &&result) { ... });
@@ -116,11 +117,14 @@
     using connection_ptr = std::shared_ptr<internal::outgoing_connection>;
 
     connection_ptr takeIdle(const std::string &peer, bool freshOnly);
+    void limitHeldBytes();
 
     boost::asio::io_context &m_loop;
     deadline_queue &m_deadlines;
     std::string m_idField;
     std::map<std::string, std::vector<connection_ptr>, std::less<>> m_idle;
+    std::set<internal::outgoing_connection *> m_receiving; ///< those with an incomplete answer
+    std::size_t m_heldBytes = 0; ///< of all incomplete answers
     std::uint64_t m_lastCallId = 0;
     std::uint64_t m_opened = 0;
 };
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -422,6 +422,7 @@
     CPPUNIT_TEST(endlessTrailerIsInvalid);
     CPPUNIT_TEST(endlessInterimAnswersAreInvalid);
     CPPUNIT_TEST(endlessStrayAnswersAreInvalid);
+    CPPUNIT_TEST(endlessBodiesTogetherStayBounded);
     CPPUNIT_TEST(callersEndlessChunkHeaderTimesOut);
     CPPUNIT_TEST_SUITE_END();
 
@@ -865,6 +866,47 @@
 
     void endlessStrayAnswersAreInvalid() { expectInvalid("", okAnswer("9", "stray")); }
 
+    /// Many targets that send bodies without end must not use up the memory of the VM.
+    void endlessBodiesTogetherStayBounded()
+    {
+        scripted_target target(
+            [&](int, int) {
+                return scripted_target::answer{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+                                               std::string(100000, 'x')};
+            },
+            false);
+        loop_thread loop;
+        std::unique_ptr<outgoing_pool> pool;
+        constexpr int calls = 30;
+        std::atomic<int> failed{0};
+        std::atomic<int> invalid{0};
+        const std::size_t before = residentMegabytes();
+        std::size_t highest = before;
+        loop.call([&] {
+            pool = std::make_unique<outgoing_pool>(loop.loop, loop.deadlines, "Id");
+            for (int i = 0; i < calls; ++i) {
+                outgoing_call call;
+                call.connectionKey = "t";
+                call.address = target.address();
+                call.head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+                call.expectedAnswerId = "1";
+                call.deadline = mono_clock::now() + seconds(20);
+                pool->send(std::move(call), [&](call_result &&result) {
+                    invalid += result.failure == call_failure::InvalidAnswer ? 1 : 0;
+                    ++failed;
+                });
+            }
+        });
+        while (failed < calls) {
+            highest = std::max(highest, residentMegabytes());
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        loop.call([&] { pool.reset(); });
+        CPPUNIT_ASSERT_EQUAL(calls, invalid.load());
+        constexpr std::size_t maxGrowth = 160; // The process may use 260 MB.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(highest - before), highest < before + maxGrowth);
+    }
+
     /// The listener stops reading a chunk header without end, and its idle timeout applies.
     void callersEndlessChunkHeaderTimesOut()
     {
