A connection with unread input is not reused

What could happen: after a VM had been frozen, bytes that a target had sent meanwhile on an idle connection became the answer to the next call on it. A call without an id, such as a grant or release of keys, took them as its own.

Cause: bytes on an idle connection close it once they are read. If a timer or another event comes first, the connection is taken before they are read.

Fix: a connection is taken only if its socket has neither bytes nor the end of the stream to read.

Run before: unreadBytesAreNotTheNextAnswer received the late answer in each of three runs. After: eight runs of the suite passed. Bytes that arrive after the next call was written can still be taken as the answer to a call without an id.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -8,8 +8,11 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <limits>
 #include <optional>
 
@@ -96,10 +99,10 @@
         }
     }
 
-    bool isUsable(bool freshOnly, time_point now) const
+    bool isUsable(bool freshOnly, time_point now)
     {
         return !m_isClosed && now < m_idleUntil
-            && (!freshOnly || now < m_idleSince + maxFreshIdleTime);
+            && (!freshOnly || now < m_idleSince + maxFreshIdleTime) && !hasUnreadInput();
     }
 
     void close()
@@ -148,6 +151,16 @@
 private:
     using answer_parser = http::response_parser<http::string_body>;
 
+    /// \returns whether the peer has sent anything or closed the connection since the last read.
+    /// The bytes belong to no later call.
+    bool hasUnreadInput()
+    {
+        char byte = 0;
+        const ssize_t count =
+            ::recv(m_socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+        return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void connect()
     {
         const auto endpoint = parseEndpoint(m_call.address);
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -414,6 +414,7 @@
     CPPUNIT_TEST(unprovenRefusalIsNotForwarded);
     CPPUNIT_TEST(hugeRemainingTimeIsBounded);
     CPPUNIT_TEST(bytesOnIdleConnectionCloseIt);
+    CPPUNIT_TEST(unreadBytesAreNotTheNextAnswer);
     CPPUNIT_TEST(endlessHeaderIsInvalid);
     CPPUNIT_TEST(endlessBodyIsInvalid);
     CPPUNIT_TEST(oversizedBodyIsInvalid);
@@ -789,6 +790,49 @@
         CPPUNIT_ASSERT_EQUAL(3, target.connections.load());
     }
 
+    /// Bytes that arrive while the VM is frozen must not become the answer to the next call, which
+    /// here expects no id, like a grant of keys.
+    void unreadBytesAreNotTheNextAnswer()
+    {
+        scripted_target target(
+            [](int connection, int) {
+                return connection == 1
+                    ? scripted_target::answer{okAnswer("", "first"), {}, okAnswer("", "late")}
+                    : scripted_target::answer{okAnswer("", "second"), {}};
+            },
+            false);
+        loop_thread loop;
+        std::unique_ptr<outgoing_pool> pool;
+        std::atomic<bool> done{false};
+        std::string body;
+        const auto makeCall = [&] {
+            outgoing_call call;
+            call.connectionKey = "t";
+            call.address = target.address();
+            call.head = "POST / HTTP/1.1\r\nHost: a\r\n\r\n";
+            call.deadline = mono_clock::now() + seconds(2);
+            return call;
+        };
+        loop.call([&] {
+            pool = std::make_unique<outgoing_pool>(loop.loop, loop.deadlines, "Id");
+            pool->send(makeCall(), [&](call_result &&) {
+                std::this_thread::sleep_for(milliseconds(200)); // The event loop is not running.
+                pool->send(makeCall(), [&](call_result &&result) {
+                    body = result.answer.body();
+                    done = true;
+                });
+            });
+        });
+        while (!done) {
+            std::this_thread::yield();
+        }
+        loop.call([&] {
+            pool->closeIdleTo("t");
+            pool.reset();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), body);
+    }
+
     /// Calls a target that sends \a text and then \a endless without end, and expects the call to
     /// fail as invalid long before its deadline.
     static void expectInvalid(const std::string &text, const std::string &endless)
