--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -8,8 +8,11 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <limits>
 #include <optional>
 
@@ -24,6 +27,10 @@
 /// Larger than any answer of the platform's tables or of a target.
 constexpr std::uint64_t maxAnswerBytes = 16U << 20U;
 constexpr std::uint32_t maxAnswerHeaderBytes = 65536;
+/// Bytes of all incomplete answers together, a quarter of a VM's usual memory.
+constexpr std::size_t maxHeldBytes = 64U << 20U;
+/// Interim and stray answers skipped per call: a few times what a faulty peer repeats.
+constexpr int maxSkippedAnswers = 16;
 /// A reachable peer accepts a connection within a few round trips.
 constexpr milliseconds connectTimeout{300};
 /// How long an idle connection is kept if its peer states no `Keep-Alive: timeout`.
@@ -67,6 +74,8 @@
         m_call = std::move(call);
         m_callback = std::move(done);
         m_isWritten = false;
+        m_isReused = m_isConnected;
+        m_skippedAnswers = 0;
         m_deadline = m_pool.m_deadlines.add(m_call.deadline, [weak = weak_from_this(), callId] {
             const auto self = weak.lock();
             if (self && self->m_callId == callId) {
@@ -90,10 +99,10 @@
         }
     }
 
-    bool isUsable(bool freshOnly, time_point now) const
+    bool isUsable(bool freshOnly, time_point now)
     {
         return !m_isClosed && now < m_idleUntil
-            && (!freshOnly || now < m_idleSince + maxFreshIdleTime);
+            && (!freshOnly || now < m_idleSince + maxFreshIdleTime) && !hasUnreadInput();
     }
 
     void close()
@@ -102,6 +111,7 @@
             return;
         }
         m_isClosed = true;
+        setHeldBytes(0);
         m_pool.m_deadlines.remove(m_deadline);
         m_pool.m_deadlines.remove(m_connectDeadline);
         m_pool.m_deadlines.remove(m_idleDeadline);
@@ -126,15 +136,35 @@
 
     void stopIdleTimer() { m_pool.m_deadlines.remove(m_idleDeadline); }
 
+    std::size_t heldBytes() const { return m_heldBytes; }
+
+    void fail(call_failure failure)
+    {
+        const auto done = std::move(m_callback);
+        m_callback = nullptr;
+        abort();
+        if (done) {
+            done({failure, {}});
+        }
+    }
+
 private:
     using answer_parser = http::response_parser<http::string_body>;
 
+    /// \returns whether the peer has sent anything or closed the connection since the last read.
+    /// The bytes belong to no later call.
+    bool hasUnreadInput()
+    {
+        char byte = 0;
+        const ssize_t count =
+            ::recv(m_socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+        return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void connect()
     {
-        tcp::endpoint endpoint;
-        try {
-            endpoint = tcpEndpoint(m_call.address);
-        } catch (const boost::system::system_error &) {
+        const auto endpoint = parseEndpoint(m_call.address);
+        if (!endpoint) {
             postFailure(call_failure::Refused);
             return;
         }
@@ -146,7 +176,7 @@
                     self->fail(call_failure::Unreachable);
                 }
             });
-        m_socket.async_connect(endpoint, [self = shared_from_this()](error_code error) {
+        m_socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
             self->handleConnect(error);
         });
     }
@@ -208,7 +238,11 @@
         }
         if (error) {
             handleReadError(error);
-        } else {
+            return;
+        }
+        setHeldBytes(m_buffer.size() + (m_parser ? m_parser->get().body().size() : 0));
+        m_pool.limitHeldBytes();
+        if (!m_isClosed) {
             read();
         }
     }
@@ -223,10 +257,14 @@
             const std::size_t used = m_parser->put(m_buffer.data(), error);
             m_buffer.consume(used);
             if (error == http::error::need_more || (!error && !m_parser->is_done())) {
-                if (used == 0 || m_buffer.size() == 0) {
-                    return;
+                if (used != 0 && m_buffer.size() != 0) {
+                    continue;
+                }
+                // The parser limits the header and the body, but not a chunk header or a trailer.
+                if (m_buffer.size() > maxAnswerHeaderBytes) {
+                    fail(call_failure::InvalidAnswer);
                 }
-                continue;
+                return;
             }
             if (error) {
                 fail(call_failure::InvalidAnswer);
@@ -239,7 +277,8 @@
     void startParser()
     {
         m_parser.emplace();
-        m_parser->eager(true);
+        // When eager, Boost 1.74 reads on past a Content-Length above the limit.
+        m_parser->eager(false);
         m_parser->header_limit(maxAnswerHeaderBytes);
         m_parser->body_limit(maxAnswerBytes);
         m_parser->skip(m_call.isHeadRequest);
@@ -257,6 +296,9 @@
             if (!parseError && m_parser->is_done()) {
                 m_endsWithConnection = true;
                 handleAnswer(m_parser->release());
+                if (m_callback) {
+                    fail(call_failure::Lost); // It was not the answer to this call.
+                }
                 return;
             }
         }
@@ -267,12 +309,12 @@
     {
         m_parser.reset();
         constexpr unsigned firstFinalStatus = 200;
-        if (answer.result_int() < firstFinalStatus) {
-            return;
-        }
-        const auto id = fieldOf(answer, m_pool.m_idField);
-        if (!m_call.expectedAnswerId.empty() && !id.empty() && id != m_call.expectedAnswerId) {
-            m_hasStrayAnswer = true; // A duplicate answer, or a late answer to an earlier call.
+        const bool isInterim = answer.result_int() < firstFinalStatus;
+        if (isInterim || isStray(answer)) {
+            m_hasStrayAnswer = m_hasStrayAnswer || !isInterim;
+            if (++m_skippedAnswers > maxSkippedAnswers) {
+                fail(call_failure::InvalidAnswer);
+            }
             return;
         }
         const bool keep = m_isWritten && !m_hasStrayAnswer && !m_endsWithConnection
@@ -289,6 +331,15 @@
         done({call_failure::None, std::move(answer)});
     }
 
+    /// \returns whether \a answer is a duplicate, or a late answer to an earlier call. On a reused
+    /// connection that includes one without an id.
+    bool isStray(const http_answer &answer) const
+    {
+        const auto id = fieldOf(answer, m_pool.m_idField);
+        return !m_call.expectedAnswerId.empty()
+            && (id.empty() ? m_isReused : id != m_call.expectedAnswerId);
+    }
+
     void becomeIdle(duration span)
     {
         m_idleSince = mono_clock::now();
@@ -303,13 +354,14 @@
         });
     }
 
-    void fail(call_failure failure)
+    void setHeldBytes(std::size_t bytes)
     {
-        const auto done = std::move(m_callback);
-        m_callback = nullptr;
-        abort();
-        if (done) {
-            done({failure, {}});
+        m_pool.m_heldBytes = m_pool.m_heldBytes - m_heldBytes + bytes;
+        m_heldBytes = bytes;
+        if (bytes == 0) {
+            m_pool.m_receiving.erase(this);
+        } else {
+            m_pool.m_receiving.insert(this);
         }
     }
 
@@ -332,9 +384,12 @@
     deadline_queue::deadline_id m_idleDeadline = 0;
     time_point m_idleSince{};
     time_point m_idleUntil{};
+    int m_skippedAnswers = 0; ///< interim and stray answers since the call was sent
+    std::size_t m_heldBytes = 0; ///< received of an answer that is not complete
     bool m_isConnected = false;
+    bool m_isReused = false; ///< it carried another call before the present one
     bool m_isWritten = false;
-    bool m_hasStrayAnswer = false; ///< received an answer with another call's id
+    bool m_hasStrayAnswer = false; ///< received an answer that belongs to no present call
     bool m_endsWithConnection = false; ///< the end of the connection delimits the answer's body
     bool m_isClosed = false;
 };
@@ -378,7 +433,8 @@
 
 call_handle outgoing_pool::send(outgoing_call &&call, callback done)
 {
-    connection_ptr connection = takeIdle(call.connectionKey, call.freshOnly);
+    connection_ptr connection =
+        call.needsNewConnection ? nullptr : takeIdle(call.connectionKey, call.freshOnly);
     if (!connection) {
         connection = std::make_shared<internal::outgoing_connection>(*this, call.connectionKey);
     }
@@ -388,6 +444,20 @@
     return handle;
 }
 
+/// Ends the largest incomplete answer if all together hold too much memory.
+void outgoing_pool::limitHeldBytes()
+{
+    if (m_heldBytes <= maxHeldBytes) {
+        return;
+    }
+    const auto largest =
+        std::max_element(m_receiving.begin(), m_receiving.end(), [](const auto *a, const auto *b) {
+            return a->heldBytes() < b->heldBytes();
+        });
+    const auto connection = (*largest)->shared_from_this();
+    connection->fail(call_failure::InvalidAnswer);
+}
+
 void outgoing_pool::closeIdleTo(const std::string &peer)
 {
     const auto it = m_idle.find(peer);
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cstdlib>
 
 namespace damaskward {
@@ -43,6 +44,27 @@
     });
 }
 
+/// \returns the time span in milliseconds that \a text states, at most a day, or nothing if it is
+/// not a number.
+std::optional<milliseconds> parseMillis(std::string_view text)
+{
+    if (!isDigits(text)) {
+        return std::nullopt;
+    }
+    constexpr std::int64_t maxMillis = 86400000;
+    std::int64_t millis = 0;
+    const auto error = std::from_chars(text.data(), text.data() + text.size(), millis).ec;
+    return milliseconds(error == std::errc() ? std::min(millis, maxMillis) : maxMillis);
+}
+
+/// \returns whether \a status tells the caller that its request has not run and will not.
+bool promisesNotRun(unsigned status)
+{
+    return status == static_cast<unsigned>(http::status::request_timeout)
+        || status == static_cast<unsigned>(http::status::too_many_requests)
+        || status == static_cast<unsigned>(http::status::service_unavailable);
+}
+
 boost::beast::string_view beastView(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -173,13 +195,9 @@
     void readDeadline()
     {
         milliseconds wait = m_route->timeout;
-        const auto left = field(m_router.m_names.remainingTime);
-        if (isDigits(left)) {
-            m_callerDeadline = m_exchange->arrivedAt()
-                + milliseconds(std::strtoll(std::string(left).c_str(), nullptr, 10));
-            wait = std::min(wait,
-                            std::chrono::duration_cast<milliseconds>(m_callerDeadline
-                                                                     - m_exchange->arrivedAt()));
+        if (const auto left = parseMillis(field(m_router.m_names.remainingTime))) {
+            m_callerDeadline = m_exchange->arrivedAt() + *left;
+            wait = std::min(wait, *left);
         }
         m_deadline = m_exchange->arrivedAt() + wait - responseMargin;
         m_deadlineId = m_router.m_deadlines.add(m_deadline, [weak = weak_from_this()] {
@@ -399,6 +417,8 @@
         call.expectedAnswerId = std::string(field(m_router.m_names.requestId));
         call.deadline = m_deadline;
         call.freshOnly = !mayRepeat(m_route->kind);
+        // A refusal that the target repeats has the same id as the answer to the retry.
+        call.needsNewConnection = !mayRepeat(m_route->kind) && m_refusedBy.count(m_target) != 0;
         m_call = m_router.m_pool.send(std::move(call),
                                       [self = shared_from_this()](call_result &&result) {
                                           self->handleResult(std::move(result));
@@ -472,6 +492,11 @@
             retryOrFail("answer is not the target's", now);
             return;
         }
+        if (promisesNotRun(status) && !mayRepeat(m_route->kind)) {
+            m_mayHaveRun = true;
+            fail("target did not state that the request has not run");
+            return;
+        }
         if (status >= firstServerError && mayRepeat(m_route->kind) && acquireRetry(now)) {
             m_fallback = std::move(result.answer);
             retry(now);
@@ -499,10 +524,8 @@
                 m_router.m_demand.queueLengths[m_target] = load->waiting;
             }
         }
-        const auto warmup = fieldOf(answer, names.remainingWarmup);
-        if (isDigits(warmup)) {
-            target_pool::recordWarmup(
-                target, milliseconds(std::strtoll(std::string(warmup).c_str(), nullptr, 10)), now);
+        if (const auto warmup = parseMillis(fieldOf(answer, names.remainingWarmup))) {
+            target_pool::recordWarmup(target, *warmup, now);
         }
     }
 
@@ -550,6 +573,7 @@
             target->inFlight = std::max(0, target->inFlight - 1);
         }
         logTry(misdirected ? "misdirected" : "shed", now);
+        m_refusedBy.insert(m_target);
         if (m_key) {
             const milliseconds requested =
                 target && !misdirected ? target_pool::pauseLeft(*target, now) : milliseconds(0);
@@ -819,6 +843,7 @@
     std::string m_target; ///< the target of the last send
     std::int64_t m_targetIncarnation = 0;
     std::set<std::string> m_tried;
+    std::set<std::string> m_refusedBy; ///< targets that stated that they had not run the request
     call_handle m_call;
     std::optional<http_answer> m_fallback; ///< a target's error answer, used if no retry succeeds
     int m_executions = 0; ///< sends that a target ran or may have run
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(newIncarnationIsNotDraining);
     CPPUNIT_TEST(pausedTargetIsNotChosen);
     CPPUNIT_TEST(shortestPauseIsOfTargetsThatAreOtherwiseUsable);
+    CPPUNIT_TEST(deeplyNestedMessagesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void servicesGetTheirWeights()
@@ -696,6 +697,21 @@
         }
     }
 
+    /// The CBOR decoder recurses: nested arrays or maps must not exhaust the stack. The longer
+    /// message is one fetched over TCP.
+    void deeplyNestedMessagesAreRejected()
+    {
+        for (const std::size_t bytes : {std::size_t{65000}, std::size_t{8000000}}) {
+            CPPUNIT_ASSERT(!decodeMessage(std::string(bytes, '\x81'))); // Arrays of one item.
+            CPPUNIT_ASSERT(!decodeMessage(std::string(bytes, '\x9f'))); // Arrays without a length.
+            std::string maps;
+            while (maps.size() < bytes) {
+                maps += "\xa1\x61k"; // A map with the key "k".
+            }
+            CPPUNIT_ASSERT(!decodeMessage(maps));
+        }
+    }
+
     // Guards against requests to a target that has announced its shutdown, after a registry record
     // of the same incarnation that still says that it is ready.
     void announcedDrainOutlastsReadyRecords()
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -57,6 +57,14 @@
     CPPUNIT_TEST(commandAnswersAreDecoded);
     CPPUNIT_TEST(operatorRowsAreDecoded);
     CPPUNIT_TEST(malformedTextsNeverThrow);
+    CPPUNIT_TEST(deeplyNestedTextsAreRejected);
+    CPPUNIT_TEST(outOfRangeTargetNumbersAreRejected);
+    CPPUNIT_TEST(outOfRangeConfigurationNumbersAreRejected);
+    CPPUNIT_TEST(versionWithSignOrOverflowIsRejected);
+    CPPUNIT_TEST(unusableAddressesAreRejected);
+    CPPUNIT_TEST(targetNamesUnfitForHeadersAreRejected);
+    CPPUNIT_TEST(outOfRangeLoadIsRejected);
+    CPPUNIT_TEST(handoverThatIsNoTextIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
     void settingsAreDecoded()
@@ -254,6 +262,132 @@
             }
         }
     }
+
+    static std::string nestedArrays(std::size_t depth)
+    {
+        return std::string(depth, '[') + std::string(depth, ']');
+    }
+
+    /// An entry nested 100,000 levels deep must not exhaust the stack of the VM that reads it.
+    void deeplyNestedTextsAreRejected()
+    {
+        const std::string nested = "{\"extra\":" + nestedArrays(100000) + ',';
+        CPPUNIT_ASSERT(
+            std::holds_alternative<error>(decodeTarget("i-1", nested + targetText.substr(1))));
+        CPPUNIT_ASSERT(
+            std::holds_alternative<error>(decodeDeployment(nested + configText.substr(1))));
+        CPPUNIT_ASSERT(
+            std::holds_alternative<error>(decodeTarget("i-1", std::string(100000, '['))));
+        CPPUNIT_ASSERT(std::holds_alternative<target_record>(
+            decodeTarget("i-1", "{\"extra\":" + nestedArrays(8) + ',' + targetText.substr(1))));
+    }
+
+    /// A number too large must not wrap to a usable one, overflow a time point, or hide all later
+    /// records of the target.
+    void outOfRangeTargetNumbersAreRejected()
+    {
+        const std::vector<std::pair<std::string, std::string>> cases = {
+            {"\"slots\":2", "\"slots\":4294967298"},
+            {"\"slots\":2", "\"slots\":9000000000000000000"},
+            {"\"slots\":2", "\"slots\":18446744073709551616"},
+            {"\"slots\":2", "\"slots\":-2"},
+            {"\"slots\":2", "\"slots\":1e400"},
+            {"\"born\":1700000000000", "\"born\":9000000000000000000"},
+            {"\"born\":1700000000000", "\"born\":18446744073709551615"},
+            {"\"born\":1700000000000", "\"born\":-1"},
+            {"\"sequence\":4", "\"sequence\":9000000000000000000"},
+            {"\"sequence\":4", "\"sequence\":18446744073709551615"},
+            {"\"sequence\":4", "\"sequence\":1e400"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":1e300"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":-1e300"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":9000000000000000000"},
+            {"\"warmupLeftMs\":900", "\"warmupLeftMs\":1e400"}};
+        for (const auto &[what, with] : cases) {
+            CPPUNIT_ASSERT_MESSAGE(with,
+                                   std::holds_alternative<error>(
+                                       decodeTarget("i-1", replaced(targetText, what, with))));
+        }
+    }
+
+    /// A configuration with a number out of range must not be applied with a wrapped one.
+    void outOfRangeConfigurationNumbersAreRejected()
+    {
+        const std::vector<std::array<std::string, 3>> cases = {
+            {"\"timeoutMs\":1500", "\"timeoutMs\":1e300", "timeoutMs"},
+            {"\"timeoutMs\":1500", "\"timeoutMs\":-1", "timeoutMs"},
+            {"\"priority\":1", "\"priority\":1e300", "priority"},
+            {"\"maxAttempts\":2", "\"maxAttempts\":4294967298", "maxAttempts"},
+            {"\"weight\":90", "\"weight\":4294967386", "weight"},
+            {"\"warmupS\":3.0", "\"warmupS\":1e300", "warmupS"},
+            {"\"warmupPerS\":3.5", "\"warmupPerS\":1e300", "warmupPerS"},
+            {"\"maxHeaderBytes\":16384", "\"maxHeaderBytes\":4294967297", "maxHeaderBytes"},
+            {"\"maxBodyBytes\":1000", "\"maxBodyBytes\":-1", "maxBodyBytes"},
+            {"\"headerTimeoutMs\":3000", "\"headerTimeoutMs\":1e300", "headerTimeoutMs"},
+            {"\"ratePerS\":56", "\"ratePerS\":1e300", "ratePerS"},
+            {"\"burst\":57", "\"burst\":-57", "burst"}};
+        for (const auto &[what, with, field] : cases) {
+            const auto config = decodeDeployment(replaced(configText, what, with));
+            CPPUNIT_ASSERT_MESSAGE(with, std::holds_alternative<error>(config));
+            const std::string text = toString(std::get<error>(config));
+            CPPUNIT_ASSERT_MESSAGE(text, text.find(field) != std::string::npos);
+        }
+    }
+
+    /// A version that wraps to a huge number would make a VM ignore every later configuration.
+    void versionWithSignOrOverflowIsRejected()
+    {
+        for (const std::string version :
+             {"r-1", "r+7", "r 7", "r99999999999999999999", "r", "r0"}) {
+            CPPUNIT_ASSERT_MESSAGE(version,
+                                   std::holds_alternative<error>(decodeDeployment(
+                                       replaced(configText, "\"r7\"", '"' + version + '"'))));
+        }
+    }
+
+    /// A port out of range must not be reduced to the port of another process.
+    void unusableAddressesAreRejected()
+    {
+        for (const std::string address :
+             {"10.1.0.9:99999", "10.1.0.9:65536", "10.1.0.9:0", "10.1.0.9:", "10.1.0.9:-1",
+              "10.1.0.9:80x", "10.1.0.9: 80", "10.1.0.9", "host:80", ":80", "10.1.0.9:80:90",
+              "10.1.0.9\\u0000:80", "10.1.0.9:18446744073709551696"}) {
+            CPPUNIT_ASSERT_MESSAGE(address,
+                                   std::holds_alternative<error>(decodeTarget(
+                                       "i-1", replaced(targetText, "10.1.0.9:8080", address))));
+        }
+    }
+
+    /// A target's name becomes a header field of each request to it.
+    void targetNamesUnfitForHeadersAreRejected()
+    {
+        for (const std::string name : {"", "i-1\r\nX: y", "i 1", "i-\xc3\xa9", "i-\x7f"}) {
+            CPPUNIT_ASSERT_MESSAGE(name,
+                                   std::holds_alternative<error>(decodeTarget(name, targetText)));
+        }
+    }
+
+    void outOfRangeLoadIsRejected()
+    {
+        CPPUNIT_ASSERT(!decodeLoad("4294967299,1,8"));
+        CPPUNIT_ASSERT(!decodeLoad("3,2147483647,8"));
+        CPPUNIT_ASSERT(!decodeLoad("3,-1,8"));
+        CPPUNIT_ASSERT(!decodeLoad("3,1,99999999999999999999999"));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100.0, decodeLoad("3,1,8,1e400")->slowdown, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, decodeLoad("3,1,8,nan")->slowdown, 1e-9);
+    }
+
+    /// A target may send any bytes as its handover token; encoding them in a grant must not throw.
+    void handoverThatIsNoTextIsIgnored()
+    {
+        call_result result;
+        result.answer.result(200);
+        result.answer.set("Handover", "\xff\xfe");
+        const command_answer answer = decodeCommandAnswer(result);
+        CPPUNIT_ASSERT(answer.outcome == command_outcome::Done);
+        grant_command grant{1, "i-1", 5, {1, 2}, 12, milliseconds(4000), answer.handover};
+        encodeCommand(grant, "10.1.0.9:80");
+        CPPUNIT_ASSERT_EQUAL(std::string(), answer.handover);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(platform_test, "platform");
