Log lines of failed commands show range, fencing token and time of sending

An unanswered command left a line with its target only. So the account of two targets that held the same keys could not tell a command that waited for its connection from one that the network delayed, nor whether it was sent at all.

The event `order` now contains the range, the fencing token, the lease duration, whether the command was passed to a connection, how long after it was issued, and when it failed.

--- a/src/Node/coordinator_role.cpp
+++ b/src/Node/coordinator_role.cpp
@@ -23,6 +23,16 @@
     return std::visit([](const auto &o) { return o.number; }, command);
 }
 
+key_range keysOf(const range_command &command)
+{
+    return std::visit([](const auto &o) { return o.keys; }, command);
+}
+
+std::uint64_t fencingTokenOf(const range_command &command)
+{
+    return std::visit([](const auto &o) { return o.fencingToken; }, command);
+}
+
 const std::string &targetOf(const range_command &command)
 {
     return std::visit([](const auto &o) -> const std::string & { return o.target; }, command);
@@ -279,12 +289,10 @@
     }
     std::visit([this](const auto &o) { logCommand(o); }, command);
     const std::weak_ptr<range_coordinator> weak = coordinator;
-    m_send(command, address->second, [this, weak, command](const command_answer &answer) {
+    const time_point issuedAt = m_clock();
+    m_send(command, address->second, [this, weak, command, issuedAt](const command_answer &answer) {
         if (answer.outcome != command_outcome::Done) {
-            m_log.write(log_line("order")
-                            .add("target", targetOf(command))
-                            .add("grant", std::holds_alternative<grant_command>(command))
-                            .add("outdated", answer.outcome == command_outcome::Outdated));
+            logFailure(command, answer, issuedAt);
         }
         if (const auto current = weak.lock()) {
             current->onCommandFinished(numberOf(command), answer.outcome, answer.handover,
@@ -316,6 +324,28 @@
                     .add("fence", command.fencingToken));
 }
 
+void coordinator_role::logFailure(const range_command &command, const command_answer &answer,
+                                  time_point issuedAt)
+{
+    const key_range keys = keysOf(command);
+    log_line line("order");
+    line.add("target", targetOf(command))
+        .add("grant", std::holds_alternative<grant_command>(command))
+        .add("outdated", answer.outcome == command_outcome::Outdated)
+        .add("first", keys.first)
+        .add("last", keys.last)
+        .add("fence", fencingTokenOf(command))
+        .add("sent", answer.sentAt != time_point{})
+        .add("ms", toMillis(m_clock() - issuedAt));
+    if (answer.sentAt != time_point{}) {
+        line.add("sentAfterMs", toMillis(answer.sentAt - issuedAt));
+    }
+    if (const auto *grant = std::get_if<grant_command>(&command)) {
+        line.add("leaseMs", grant->leaseDuration.count());
+    }
+    m_log.write(line);
+}
+
 void coordinator_role::readRow(time_point)
 {
     m_lease.onCallSent();
--- a/src/Node/coordinator_role.h
+++ b/src/Node/coordinator_role.h
@@ -96,6 +96,9 @@
                      const std::shared_ptr<range_coordinator> &coordinator);
     void logCommand(const grant_command &command);
     void logCommand(const release_command &command);
+    /// Logs a command that was not executed as far as this VM knows.
+    void logFailure(const range_command &command, const command_answer &answer,
+                    time_point issuedAt);
     void readRow(time_point now);
     void claimLease(time_point now);
     void renewLease(time_point now);
--- a/src/Node/platform_port.h
+++ b/src/Node/platform_port.h
@@ -24,6 +24,7 @@
     command_outcome outcome = command_outcome::Unanswered;
     std::string handover; ///< token returned by a completed release
     bool isAddressReused = false; ///< another target now uses the address
+    time_point sentAt{}; ///< when it was passed to the connection; empty if never
 };
 
 /// Decoded content of an operator row. Both members are empty if it does not concern the daemon.
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -67,6 +67,7 @@
         m_call = std::move(call);
         m_callback = std::move(done);
         m_isWritten = false;
+        m_sentAt = {};
         m_deadline = m_pool.m_deadlines.add(m_call.deadline, [weak = weak_from_this(), callId] {
             const auto self = weak.lock();
             if (self && self->m_callId == callId) {
@@ -169,6 +170,7 @@
 
     void write()
     {
+        m_sentAt = mono_clock::now();
         const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(m_call.head),
                                                                boost::asio::buffer(m_call.body)};
         boost::asio::async_write(
@@ -286,7 +288,7 @@
         } else {
             close();
         }
-        done({call_failure::None, std::move(answer)});
+        done({call_failure::None, std::move(answer), m_sentAt});
     }
 
     void becomeIdle(duration span)
@@ -309,7 +311,7 @@
         m_callback = nullptr;
         abort();
         if (done) {
-            done({failure, {}});
+            done({failure, {}, m_sentAt});
         }
     }
 
@@ -330,6 +332,7 @@
     deadline_queue::deadline_id m_deadline = 0;
     deadline_queue::deadline_id m_connectDeadline = 0;
     deadline_queue::deadline_id m_idleDeadline = 0;
+    time_point m_sentAt{}; ///< of the present call, empty until it is sent
     time_point m_idleSince{};
     time_point m_idleUntil{};
     bool m_isConnected = false;
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -40,6 +40,7 @@
 {
     call_failure failure = call_failure::None;
     http_answer answer;
+    time_point sentAt{}; ///< when its first byte was passed to the connection; empty if never
 };
 
 /// One call to send.
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -216,7 +216,9 @@
         CPPUNIT_ASSERT(decodeCommandAnswer(result).outcome == command_outcome::Unanswered);
         result.failure = call_failure::TimedOut;
         result.answer.result(200);
+        result.sentAt = time_point{seconds(3)};
         CPPUNIT_ASSERT(decodeCommandAnswer(result).outcome == command_outcome::Unanswered);
+        CPPUNIT_ASSERT(decodeCommandAnswer(result).sentAt == result.sentAt);
     }
 
     void operatorRowsAreDecoded()
