The next incarnation of an owner releases its keys before they move

What callers can see: two targets that work on the same keys after an owner has restarted under its name, until the lease of the first one expires.

Cause: when the registry showed a newer incarnation of an owner, the coordinator took its keys for free at once, as the previous process had ended. But commands carry the name of the target only, and the next incarnation has the same name and address. Before the registry shows it, for example as it can't reach the store, it accepts renewals that were meant for its predecessor, and holds the keys.

Evidence: the test restartedOwnerGivesUpItsKeysFirst. Before the change it failed with "two owners": the keys were granted to the next target while the lease of the last renewal was in force. The range simulation doesn't show it, since its targets refuse commands of another incarnation.

The coordinator now takes the keys back from the next incarnation as from any unfit owner: by a release, or, if an unconfirmed grant may be in force, by a higher fencing token first. The keys wait for one more round trip, not for the expiry of the lease.

--- a/src/Ranges/range_coordinator.cpp
+++ b/src/Ranges/range_coordinator.cpp
@@ -141,8 +141,7 @@
         return;
     }
     const auto it = views.find(range.owner.target);
-    const bool hasTerminated = it != views.end()
-        && (it->second.hasTerminated || it->second.incarnation > range.owner.incarnation);
+    const bool hasTerminated = it != views.end() && it->second.hasTerminated;
     const bool isReleasing = range.state == phase::Releasing;
     if (hasTerminated || (isReleasing && now >= range.grantExpiresAt)) {
         if (hasTerminated) {
@@ -151,6 +150,10 @@
         markFree(range); // The owner's process has terminated, or its last grant has expired.
         return;
     }
+    if (it != views.end() && it->second.incarnation > range.owner.incarnation) {
+        reclaimFromNextIncarnation(range, it->second.incarnation, now);
+        return;
+    }
     if (isReleasing) {
         return;
     }
@@ -165,6 +168,22 @@
     }
 }
 
+/// Takes the keys from the next incarnation of an owner. It has the name and the address of the
+/// previous one, so it may hold them by a renewal that was meant for the latter.
+void range_coordinator::reclaimFromNextIncarnation(range_state &range, std::int64_t incarnation,
+                                                   time_point now)
+{
+    range.owner.incarnation = incarnation;
+    range.owner.handover.clear();
+    if (range.state == phase::Releasing) {
+        range.pendingCommand = 0; // The previous incarnation can't answer it any more.
+        range.nextCommandAt = now;
+        return;
+    }
+    abandonCommand(range);
+    releaseOrRefence(range, {}, now);
+}
+
 /// Takes the keys from an owner that answers commands. While an unconfirmed grant may be in force,
 /// the owner first gets a new fencing token; otherwise it could still apply that grant after it has
 /// released the keys.
--- a/src/Ranges/range_coordinator.h
+++ b/src/Ranges/range_coordinator.h
@@ -180,6 +180,7 @@
     void startRelease(range_state &range, const std::string &to, time_point now);
     void confirmGrant(range_state &range, time_point now);
     void reclaimIfOwnerUnfit(range_state &range, const owner_views &views, time_point now);
+    void reclaimFromNextIncarnation(range_state &range, std::int64_t incarnation, time_point now);
     void startPlannedMoves(const owner_views &views, time_point now);
     void startMove(key_range keys, const std::string &to, time_point now);
     void chooseOwners(const owner_views &views, time_point now);
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(terminatedOwnerDoesNotDelayNextOwner);
     CPPUNIT_TEST(unconfirmedGrantDelaysNextOwner);
     CPPUNIT_TEST(gapsInRecordedMapAreFilled);
+    CPPUNIT_TEST(restartedOwnerGivesUpItsKeysFirst);
     CPPUNIT_TEST_SUITE_END();
 
     void oneOwnerUnderFaults()
@@ -583,6 +584,47 @@
         }
         CPPUNIT_ASSERT_EQUAL(keyCount, covered);
     }
+
+    /// A target restarts under its name and address, and the registry shows this late. Until then
+    /// its new incarnation accepts renewals, so the keys must not get another owner before it has
+    /// released them.
+    void restartedOwnerGivesUpItsKeysFirst()
+    {
+        range_coordinator coordinator({}, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        owner_views currentViews = views(2);
+        currentViews["t1"].isWarmingUp = true; // It gets no keys at first.
+        std::uint64_t nextFencingToken = 8;
+        time_point grantedUntil{}; // Of the grants that the first target holds.
+        time_point movedAt{};
+        for (time_point now = start; now < start + seconds(4); now += milliseconds(50)) {
+            if (now >= start + seconds(1)) {
+                currentViews["t0"].incarnation = 2;
+                currentViews["t0"].isWarmingUp = true;
+                currentViews["t1"].isWarmingUp = false;
+            }
+            for (const range_command &command : coordinator.step(currentViews, forever, now)) {
+                const bool isFirst =
+                    std::visit([](const auto &o) { return o.target == "t0"; }, command);
+                const auto *grant = std::get_if<grant_command>(&command);
+                if (isFirst) {
+                    grantedUntil = grant ? now + grant->leaseDuration : time_point{};
+                } else {
+                    CPPUNIT_ASSERT_MESSAGE("two owners", !grant || now >= grantedUntil);
+                    movedAt = movedAt == time_point{} ? now : movedAt;
+                }
+                coordinator.onCommandFinished(
+                    std::visit([](const auto &o) { return o.number; }, command),
+                    command_outcome::Done, {}, now);
+            }
+            if (coordinator.hasUnrecordedChanges()) {
+                coordinator.prepareRecord(nextFencingToken);
+                coordinator.confirmRecord(now);
+            }
+        }
+        CPPUNIT_ASSERT(movedAt != time_point{});
+        CPPUNIT_ASSERT(movedAt < start + milliseconds(1500)); // It did not wait for the expiry.
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ranges_test, "ranges");
