An undecodable coordinator's row is not claimed with the owners of an older one

What callers can see: two targets that work on the same keys after another VM has become the coordinator, if the row had a version in between that this VM couldn't decode.

Cause: readRow() kept the content of an older version under the new version's number. The claim checks that number only, so it wrote back old owners and fencing tokens.

Evidence: the test undecodableRowIsNotClaimed, with a row that is undecodable between two others. Before the change it failed: 1 write instead of 0.

The VM now treats such a row as one that another VM holds: it drops what it knows and reads again after the retry delay. While the row stays undecodable no VM becomes the coordinator, and the log has "malformed row".

--- a/src/Node/coordinator_role.cpp
+++ b/src/Node/coordinator_role.cpp
@@ -362,11 +362,15 @@
             return;
         }
         const table_row &row = rows->rows.front();
-        if (auto decoded = decodeRow(row.value)) {
-            m_row = std::move(*decoded);
-        } else {
+        auto decoded = decodeRow(row.value);
+        if (!decoded) {
+            // A claim would replace this version by the owners of an older one.
             m_log.write(log_line("malformed row").add("row", coordinatorRow));
+            m_lease.onLeaseLost(now);
+            m_lease.onCallFailed(now); // The next read waits for the retry delay.
+            return;
         }
+        m_row = std::move(*decoded);
         const bool isOwnPreviousIncarnation =
             m_row.holder == m_membership.self() && m_row.incarnation != m_incarnation;
         m_lease.onRowRead(row.version, m_row.holder.empty() || isOwnPreviousIncarnation, now);
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(unconfirmedGrantDelaysNextOwner);
     CPPUNIT_TEST(gapsInRecordedMapAreFilled);
     CPPUNIT_TEST(restartedOwnerGivesUpItsKeysFirst);
+    CPPUNIT_TEST(undecodableRowIsNotClaimed);
     CPPUNIT_TEST_SUITE_END();
 
     void oneOwnerUnderFaults()
@@ -625,6 +626,51 @@
         CPPUNIT_ASSERT(movedAt != time_point{});
         CPPUNIT_ASSERT(movedAt < start + milliseconds(1500)); // It did not wait for the expiry.
     }
+
+    /// A new version of the coordinator's row that can't be decoded must not be replaced by the
+    /// owners of an older version: keys may have got other owners since.
+    void undecodableRowIsNotClaimed()
+    {
+        std::string row =
+            R"({"holder":"vm-9","incarnation":1,"epoch":3,"nextFence":9,"owners":{}})";
+        row_version version = 1;
+        int writes = 0;
+        time_point now = start;
+        store_port store;
+        store.read = [&](const std::string &, const std::string &, const row_callback &done) {
+            row_set rows;
+            rows.rows.push_back({"keeper", row, version, false});
+            done(std::move(rows));
+        };
+        store.commit = [&](const std::string &, const table_transaction &,
+                           const commit_callback &) { ++writes; };
+        target_pool targets{data_center_id("dc")};
+        membership peers{"vm-0"};
+        request_log log{"vm-0", -1};
+        coordinator_role role(
+            store, "own",
+            [](const range_command &, const std::string &,
+               const coordinator_role::command_callback &) {},
+            targets, peers, log, 1, seconds(10), [&] { return now; }, [](const owner_update &) {},
+            [](const owner_shares &) {});
+        deployment config;
+        config.services[service_id("lookup")].keyed = true;
+        role.setDeployment(config);
+        const auto runFor = [&](seconds span) {
+            for (const time_point end = now + span; now < end; now += milliseconds(50)) {
+                role.tick(now);
+            }
+        };
+        runFor(seconds(1));
+        row = "{}";
+        version = 2;
+        runFor(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(0, writes);
+        row = R"({"holder":"vm-9","incarnation":1,"epoch":4,"nextFence":12,"owners":{}})";
+        version = 3;
+        runFor(seconds(20));
+        CPPUNIT_ASSERT(writes > 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ranges_test, "ranges");
