Grants have a deadline after which they are neither sent nor repeated

What callers can see: two targets that work on the same keys for some tens of milliseconds, if a renewal was held up at its sender and its target then stopped answering.

Cause: the coordinator took a grant for expired 250 ms of transit, plus the lease duration and 2 %, after step() had issued it. But the call had 300 ms from the time at which it came to the pool, to establish its connection or to be repeated by the network, and still had the way to the target before it. A call whose deadline had passed was even written if its connection was idle.

Evidence: the test grantSentLateDelaysNextOwner. Before the change, with 300 ms until a grant is received, it failed with "two owners". The test callPastItsDeadlineIsNotSent failed with the old pool: the call was sent.

A grant now carries its deadline, counted from the time at which it is issued. The pool doesn't send a call from its deadline on, and resets the connection of one that was sent, as before. So a grant is received by the deadline plus the delay of the network, 200 ms and 50 ms. Their sum is that of before, so the keys of an unresponsive target wait no longer. A command that was not sent leaves the time of expiry as it was: test grantNotSentDelaysNobody.

Not covered: a sender that stops between the write and the deadline resets the connection late, and the kernel may repeat lost packets until then.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -40,9 +40,7 @@
 /// readiness checks to notice it.
 constexpr milliseconds shutdownAcceptTime{2300};
 constexpr milliseconds shutdownMargin{500};
-/// Targets answer a grant within some milliseconds, but a release only when the running work on the
-/// keys has ended.
-constexpr milliseconds grantTimeout{300};
+/// Targets answer a release only when the running work on the keys has ended.
 constexpr milliseconds releaseTimeout{1500};
 /// VMs with at least this share of a CPU core are preferred for roles that serve the whole fleet.
 constexpr double spareCpuShare = 0.2;
@@ -472,8 +470,8 @@
                        coordinator_role::command_callback done)
 {
     outgoing_call call = m_platform.encodeCommand(command, address);
-    const bool isGrant = std::holds_alternative<grant_command>(command);
-    call.deadline = mono_clock::now() + (isGrant ? grantTimeout : releaseTimeout);
+    const auto *grant = std::get_if<grant_command>(&command);
+    call.deadline = grant ? grant->deadline : mono_clock::now() + releaseTimeout;
     m_pool.send(std::move(call), [this, done = std::move(done)](call_result &&result) {
         done(m_platform.decodeCommandAnswer(result));
     });
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -72,11 +72,13 @@
             const auto self = weak.lock();
             if (self && self->m_callId == callId) {
                 self->m_deadline = 0;
-                self->fail(self->m_isConnected ? call_failure::TimedOut
-                                               : call_failure::Unreachable);
+                self->fail(self->m_sentAt != time_point{} ? call_failure::TimedOut
+                                                          : call_failure::Unreachable);
             }
         });
-        if (m_isConnected) {
+        if (mono_clock::now() >= m_call.deadline) {
+            postFailure(call_failure::Unreachable);
+        } else if (m_isConnected) {
             write();
         } else {
             connect();
@@ -163,6 +165,10 @@
             return;
         }
         setUpSocket(m_socket);
+        if (mono_clock::now() >= m_call.deadline) {
+            fail(call_failure::Unreachable);
+            return;
+        }
         m_isConnected = true;
         write();
         read();
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -23,7 +23,7 @@
 enum class call_failure {
     None,
     Refused, ///< the connection was refused; nothing was sent
-    Unreachable, ///< the connection was not established in time; nothing was sent
+    Unreachable, ///< no connection was established before the deadline; nothing was sent
     Lost, ///< sent at least in part, without an answer: the peer may have executed it
     InvalidAnswer, ///< the answer is truncated or not valid HTTP
     TimedOut ///< no complete answer before the deadline
@@ -53,7 +53,7 @@
     std::string body;
     bool isHeadRequest = false; ///< the answer has no body (HEAD)
     std::string expectedAnswerId; ///< answers with another id are skipped; empty accepts any answer
-    time_point deadline{};
+    time_point deadline{}; ///< no part of the call is sent, and no answer awaited, from then on
     bool freshOnly = false; ///< skip connections idle for long: the peer may have dropped them
 };
 
--- a/src/Ranges/range_coordinator.cpp
+++ b/src/Ranges/range_coordinator.cpp
@@ -77,7 +77,8 @@
 
 milliseconds range_coordinator::maxGrantValidity(milliseconds leaseDuration) const
 {
-    return leaseDuration + leaseDuration * maxClockSlowPercent / 100 + m_timing.maxTransitTime;
+    return m_timing.grantTimeout + m_timing.maxNetworkDelay + leaseDuration
+        + leaseDuration * maxClockSlowPercent / 100;
 }
 
 std::string_view range_coordinator::ownerOf(shard_key key) const
@@ -355,10 +356,12 @@
     }
     range.pendingCommand = ++m_lastCommand;
     range.commandSentAt = now;
+    range.previousGrantExpiresAt = range.grantExpiresAt;
     range.grantExpiresAt = std::max(range.grantExpiresAt, now + maxGrantValidity(leaseDuration));
-    commands.push_back(grant_command{
-        range.pendingCommand, range.owner.target, range.owner.incarnation, range.owner.keys,
-        range.owner.fencingToken, leaseDuration, range.owner.handover});
+    commands.push_back(grant_command{range.pendingCommand, range.owner.target,
+                                     range.owner.incarnation, range.owner.keys,
+                                     range.owner.fencingToken, leaseDuration, range.owner.handover,
+                                     now + m_timing.grantTimeout});
 }
 
 void range_coordinator::appendRelease(range_state &range, time_point now,
@@ -382,9 +385,11 @@
     }
     range_state &range = *it;
     range.pendingCommand = 0;
-    recordResponse(range.owner.target, outcome != command_outcome::Unanswered, now);
+    const bool isAnswered =
+        outcome == command_outcome::Done || outcome == command_outcome::Outdated;
+    recordResponse(range.owner.target, isAnswered, now);
     if (range.state == phase::Releasing) {
-        if (outcome == command_outcome::Unanswered) {
+        if (!isAnswered) {
             range.nextCommandAt = now + m_timing.retryDelay;
             range.mayWaitForExpiry = true;
             bumpRevision();
@@ -422,8 +427,13 @@
         range.state = phase::Free;
         bumpRevision();
         break;
+    case command_outcome::NotSent:
     case command_outcome::Unanswered:
-        range.unconfirmedUntil = std::max(range.unconfirmedUntil, range.grantExpiresAt);
+        if (outcome == command_outcome::NotSent) {
+            range.grantExpiresAt = range.previousGrantExpiresAt;
+        } else {
+            range.unconfirmedUntil = std::max(range.unconfirmedUntil, range.grantExpiresAt);
+        }
         if (range.unansweredSince == time_point{}) {
             range.unansweredSince = range.commandSentAt;
         }
--- a/src/Ranges/range_coordinator.h
+++ b/src/Ranges/range_coordinator.h
@@ -29,6 +29,7 @@
     std::uint64_t fencingToken = 0;
     milliseconds leaseDuration{0};
     std::string handover;
+    time_point deadline{}; ///< the sender sends and repeats no part of the command from then on
 };
 
 /// Takes keys back: the target starts no more requests for them, and answers when the running ones
@@ -48,7 +49,8 @@
 enum class command_outcome {
     Done,
     Outdated, ///< the target has seen a higher fencing token
-    Unanswered ///< the target may have applied it, or may still apply it
+    Unanswered, ///< the target may have applied it, or may still apply it
+    NotSent ///< no part of it was sent, so the target can't apply it
 };
 
 /// The state of a target, as the caller of range_coordinator::step() knows it.
@@ -74,7 +76,10 @@
     milliseconds renewInterval{600};
     milliseconds outageLeaseDuration{10000}; ///< of a grant while the store is unreachable
     milliseconds retryDelay{250}; ///< before an unanswered command is sent again
-    milliseconds maxTransitTime{250}; ///< from sending a command until the target receives it
+    /// Of a grant, from issuing it until its deadline: for two round trips, one of which
+    /// establishes the connection.
+    milliseconds grantTimeout{200};
+    milliseconds maxNetworkDelay{50}; ///< from sending a packet until the target receives it
 };
 
 /// \param targets the number of targets of the service
@@ -157,6 +162,7 @@
         phase state = phase::Held;
         std::string plannedTarget; ///< the planned new owner, or empty for any
         time_point grantExpiresAt{}; ///< when all its grants have certainly expired
+        time_point previousGrantExpiresAt{}; ///< the same without the pending command
         /// When all unconfirmed grants have certainly expired.
         time_point unconfirmedUntil{};
         /// The same for unconfirmed grants with lower fencing tokens.
@@ -190,6 +196,7 @@
     void recordResponse(const std::string &target, bool answered, time_point now);
     bool isEligible(const std::string &target, const owner_view &view, time_point now) const;
     void bumpRevision() { ++m_revision; }
+    /// \returns how long after it was issued a grant may be in force.
     milliseconds maxGrantValidity(milliseconds leaseDuration) const;
 
     coordinator_timing m_timing;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -189,7 +189,8 @@
     void commandsAreEncoded()
     {
         const outgoing_call grant = encodeCommand(
-            grant_command{1, "i-1", 5, {4096, 8191}, 12, milliseconds(4000), "tok"}, "10.1.0.9:80");
+            grant_command{1, "i-1", 5, {4096, 8191}, 12, milliseconds(4000), "tok", {}},
+            "10.1.0.9:80");
         CPPUNIT_ASSERT(grant.head.find("POST /grant HTTP/1.1") == 0);
         CPPUNIT_ASSERT(grant.head.find("Expect-Instance: i-1\r\n") != std::string::npos);
         const auto body = parseJson(grant.body);
@@ -219,6 +220,8 @@
         result.sentAt = time_point{seconds(3)};
         CPPUNIT_ASSERT(decodeCommandAnswer(result).outcome == command_outcome::Unanswered);
         CPPUNIT_ASSERT(decodeCommandAnswer(result).sentAt == result.sentAt);
+        result.failure = call_failure::Unreachable;
+        CPPUNIT_ASSERT(decodeCommandAnswer(result).outcome == command_outcome::NotSent);
     }
 
     void operatorRowsAreDecoded()
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(unconfirmedGrantDelaysNextOwner);
     CPPUNIT_TEST(gapsInRecordedMapAreFilled);
     CPPUNIT_TEST(restartedOwnerGivesUpItsKeysFirst);
+    CPPUNIT_TEST(grantSentLateDelaysNextOwner);
+    CPPUNIT_TEST(grantNotSentDelaysNobody);
     CPPUNIT_TEST(undecodableRowIsNotClaimed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -627,6 +629,70 @@
         CPPUNIT_ASSERT(movedAt < start + milliseconds(1500)); // It did not wait for the expiry.
     }
 
+    /// A command waits for its connection and the network repeats it until the sender resets the
+    /// connection. The next owner waits for the expiry of a grant that was received that late.
+    void grantSentLateDelaysNextOwner()
+    {
+        range_coordinator coordinator({}, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        std::uint64_t nextFencingToken = 8;
+        time_point grantedUntil{}; // Of the grants that the first target holds.
+        time_point movedAt{};
+        std::vector<std::pair<time_point, command_id>> timeouts;
+        for (time_point now = start; now < start + seconds(8); now += milliseconds(10)) {
+            for (const auto &[at, number] : timeouts) {
+                if (at == now) {
+                    coordinator.onCommandFinished(number, command_outcome::Unanswered, {}, now);
+                }
+            }
+            for (const range_command &command : coordinator.step(views(2), forever, now)) {
+                if (const auto *grant = std::get_if<grant_command>(&command)) {
+                    if (grant->target != "t0") {
+                        CPPUNIT_ASSERT_MESSAGE("two owners", now >= grantedUntil);
+                        movedAt = movedAt == time_point{} ? now : movedAt;
+                        continue;
+                    }
+                    const time_point receivedAt =
+                        grant->deadline + coordinator_timing{}.maxNetworkDelay;
+                    grantedUntil =
+                        std::max(grantedUntil, receivedAt + grant->leaseDuration * 102 / 100);
+                    timeouts.emplace_back(grant->deadline, grant->number);
+                } else {
+                    timeouts.emplace_back(now + milliseconds(300),
+                                          std::get<release_command>(command).number);
+                }
+            }
+            if (coordinator.hasUnrecordedChanges()) {
+                coordinator.prepareRecord(nextFencingToken);
+                coordinator.confirmRecord(now);
+            }
+        }
+        CPPUNIT_ASSERT(movedAt != time_point{});
+    }
+
+    /// A command that was never sent does not delay the next owner.
+    void grantNotSentDelaysNobody()
+    {
+        range_coordinator coordinator({}, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        const auto commands = coordinator.step(views(2), forever, start);
+        coordinator.onCommandFinished(std::get<grant_command>(commands[0]).number,
+                                      command_outcome::NotSent, {}, start);
+        owner_views draining = views(2);
+        draining["t0"].mayOwn = false;
+        const time_point now = start + milliseconds(50);
+        for (const range_command &command : coordinator.step(draining, forever, now)) {
+            CPPUNIT_ASSERT(std::holds_alternative<release_command>(command));
+            coordinator.onCommandFinished(std::get<release_command>(command).number,
+                                          command_outcome::NotSent, {}, now);
+        }
+        coordinator.step(draining, forever, now + milliseconds(50));
+        std::uint64_t nextFencingToken = 8;
+        CPPUNIT_ASSERT(coordinator.hasUnrecordedChanges());
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"),
+                             coordinator.prepareRecord(nextFencingToken).front().target);
+    }
+
     /// A new version of the coordinator's row that can't be decoded must not be replaced by the
     /// owners of an older version: keys may have got other owners since.
     void undecodableRowIsNotClaimed()
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -238,6 +238,7 @@
     CPPUNIT_TEST(closeWithoutAnswerIsLost);
     CPPUNIT_TEST(refusedConnectionSentNothing);
     CPPUNIT_TEST(unresponsiveTargetTimesOut);
+    CPPUNIT_TEST(callPastItsDeadlineIsNotSent);
     CPPUNIT_TEST_SUITE_END();
 
     static int count(const std::string &text, const std::string &part)
@@ -456,6 +457,39 @@
         CPPUNIT_ASSERT(sendCalls(target.address(), 1, milliseconds(150)).failure
                        == call_failure::TimedOut);
     }
+
+    /// A call that comes to its connection after the deadline must not be sent: a grant that was
+    /// sent late would outlast the time at which its sender takes it for expired.
+    void callPastItsDeadlineIsNotSent()
+    {
+        scripted_target target({okAnswer("1", "a"), okAnswer("2", "b")}, false);
+        loop_thread loop;
+        std::unique_ptr<outgoing_pool> pool;
+        loop.call([&] { pool = std::make_unique<outgoing_pool>(loop.loop, loop.deadlines, "Id"); });
+        call_result last;
+        // The second call finds an idle connection.
+        for (const milliseconds timeout : {milliseconds(2000), milliseconds(-1)}) {
+            std::atomic<bool> done{false};
+            loop.call([&] {
+                outgoing_call call;
+                call.connectionKey = "t";
+                call.address = target.address();
+                call.head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+                call.deadline = mono_clock::now() + timeout;
+                pool->send(std::move(call), [&](call_result &&result) {
+                    last = std::move(result);
+                    done = true;
+                });
+            });
+            while (!done) {
+                std::this_thread::yield();
+            }
+        }
+        loop.call([&] { pool->closeIdleTo("t"); });
+        loop.call([&] { pool.reset(); });
+        CPPUNIT_ASSERT(neverSent(last.failure));
+        CPPUNIT_ASSERT(last.sentAt == time_point{});
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(transport_test, "transport");
