--- a/src/Node/coordinator_role.h
+++ b/src/Node/coordinator_role.h
@@ -138,6 +138,9 @@
     void suspendOrStop(time_point leaseEnd);
     bool maySuspendedResume(time_point now) const;
     time_point grantsExpireAt() const;
+    /// Logs a command that was not executed as far as this VM knows.
+    void logFailure(const range_command &command, const command_answer &answer,
+                    time_point issuedAt);
     void readRow(time_point now);
     void applyRows(const row_set &rows, time_point now);
     void claimLease(time_point now);
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -76,15 +76,18 @@
         m_isWritten = false;
         m_isReused = m_isConnected;
         m_skippedAnswers = 0;
+        m_sentAt = {};
         m_deadline = m_pool.m_deadlines.add(m_call.deadline, [weak = weak_from_this(), callId] {
             const auto self = weak.lock();
             if (self && self->m_callId == callId) {
                 self->m_deadline = 0;
-                self->fail(self->m_isConnected ? call_failure::TimedOut
-                                               : call_failure::Unreachable);
+                self->fail(self->m_sentAt != time_point{} ? call_failure::TimedOut
+                                                          : call_failure::Unreachable);
             }
         });
-        if (m_isConnected) {
+        if (mono_clock::now() >= m_call.deadline) {
+            postFailure(call_failure::Unreachable);
+        } else if (m_isConnected) {
             write();
         } else {
             connect();
@@ -144,7 +147,7 @@
         m_callback = nullptr;
         abort();
         if (done) {
-            done({failure, {}});
+            done({failure, {}, m_sentAt});
         }
     }
 
@@ -192,6 +195,10 @@
             return;
         }
         setUpSocket(m_socket);
+        if (mono_clock::now() >= m_call.deadline) {
+            fail(call_failure::Unreachable);
+            return;
+        }
         m_isConnected = true;
         write();
         read();
@@ -199,6 +206,7 @@
 
     void write()
     {
+        m_sentAt = mono_clock::now();
         const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(m_call.head),
                                                                boost::asio::buffer(m_call.body)};
         boost::asio::async_write(
@@ -329,7 +337,7 @@
         } else {
             close();
         }
-        done({call_failure::None, std::move(answer)});
+        done({call_failure::None, std::move(answer), m_sentAt});
     }
 
     /// \returns whether \a answer is a duplicate, or a late answer to an earlier call. On a reused
@@ -383,6 +391,7 @@
     deadline_queue::deadline_id m_deadline = 0;
     deadline_queue::deadline_id m_connectDeadline = 0;
     deadline_queue::deadline_id m_idleDeadline = 0;
+    time_point m_sentAt{}; ///< of the present call, empty until it is sent
     time_point m_idleSince{};
     time_point m_idleUntil{};
     int m_skippedAnswers = 0; ///< interim and stray answers since the call was sent
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -24,7 +24,7 @@
 enum class call_failure {
     None,
     Refused, ///< the connection was refused; nothing was sent
-    Unreachable, ///< the connection was not established in time; nothing was sent
+    Unreachable, ///< no connection was established before the deadline; nothing was sent
     Lost, ///< sent at least in part, without an answer: the peer may have executed it
     InvalidAnswer, ///< the answer is truncated or not valid HTTP
     TimedOut ///< no complete answer before the deadline
@@ -41,6 +41,7 @@
 {
     call_failure failure = call_failure::None;
     http_answer answer;
+    time_point sentAt{}; ///< when its first byte was passed to the connection; empty if never
 };
 
 /// One call to send.
@@ -55,7 +56,7 @@
     /// Answers with another id are skipped, and on a reused connection those without one; empty
     /// accepts any answer.
     std::string expectedAnswerId;
-    time_point deadline{};
+    time_point deadline{}; ///< no part of the call is sent, and no answer awaited, from then on
     bool freshOnly = false; ///< skip connections idle for long: the peer may have dropped them
     bool needsNewConnection = false; ///< send on a connection that has carried no other call
 };
--- a/src/Ranges/range_coordinator.cpp
+++ b/src/Ranges/range_coordinator.cpp
@@ -14,6 +14,13 @@
 /// Limits the ranges that change owner at the same time, so that most keys stay served.
 constexpr std::size_t maxConcurrentMoves = 12;
 
+/// \returns the longest time from issuing a grant until it has certainly expired.
+milliseconds grantValidity(const coordinator_timing &timing, milliseconds leaseDuration)
+{
+    return timing.grantTimeout + timing.maxNetworkDelay + leaseDuration
+        + leaseDuration * maxClockSlowPercent / 100;
+}
+
 } // namespace
 
 coordinator_timing timingFor(std::int64_t targets, milliseconds maxLeaseDuration)
@@ -77,13 +84,12 @@
 
 milliseconds longestGrantValidity(const coordinator_timing &timing)
 {
-    const milliseconds longest = timing.outageLeaseDuration;
-    return longest + longest * maxClockSlowPercent / 100 + timing.maxTransitTime;
+    return grantValidity(timing, timing.outageLeaseDuration);
 }
 
 milliseconds range_coordinator::maxGrantValidity(milliseconds leaseDuration) const
 {
-    return leaseDuration + leaseDuration * maxClockSlowPercent / 100 + m_timing.maxTransitTime;
+    return grantValidity(m_timing, leaseDuration);
 }
 
 std::string_view range_coordinator::ownerOf(shard_key key) const
@@ -147,8 +153,7 @@
         return;
     }
     const auto it = views.find(range.owner.target);
-    const bool hasTerminated = it != views.end()
-        && (it->second.hasTerminated || it->second.incarnation > range.owner.incarnation);
+    const bool hasTerminated = it != views.end() && it->second.hasTerminated;
     const bool isReleasing = range.state == phase::Releasing;
     if (hasTerminated || (isReleasing && now >= range.grantExpiresAt)) {
         if (hasTerminated) {
@@ -157,6 +162,10 @@
         markFree(range); // The owner's process has terminated, or its last grant has expired.
         return;
     }
+    if (it != views.end() && it->second.incarnation > range.owner.incarnation) {
+        reclaimFromNextIncarnation(range, it->second.incarnation, now);
+        return;
+    }
     if (isReleasing) {
         return;
     }
@@ -171,6 +180,22 @@
     }
 }
 
+/// Takes the keys from the next incarnation of an owner. It has the name and the address of the
+/// previous one, so it may hold them by a renewal that was meant for the latter.
+void range_coordinator::reclaimFromNextIncarnation(range_state &range, std::int64_t incarnation,
+                                                   time_point now)
+{
+    range.owner.incarnation = incarnation;
+    range.owner.handover.clear();
+    if (range.state == phase::Releasing) {
+        range.pendingCommand = 0; // The previous incarnation can't answer it any more.
+        range.nextCommandAt = now;
+        return;
+    }
+    abandonCommand(range);
+    releaseOrRefence(range, {}, now);
+}
+
 /// Takes the keys from an owner that answers commands. While an unconfirmed grant may be in force,
 /// the owner first gets a new fencing token; otherwise it could still apply that grant after it has
 /// released the keys.
@@ -342,10 +367,12 @@
     }
     range.pendingCommand = ++m_lastCommand;
     range.commandSentAt = now;
+    range.previousGrantExpiresAt = range.grantExpiresAt;
     range.grantExpiresAt = std::max(range.grantExpiresAt, now + maxGrantValidity(leaseDuration));
-    commands.push_back(grant_command{
-        range.pendingCommand, range.owner.target, range.owner.incarnation, range.owner.keys,
-        range.owner.fencingToken, leaseDuration, range.owner.handover});
+    commands.push_back(grant_command{range.pendingCommand, range.owner.target,
+                                     range.owner.incarnation, range.owner.keys,
+                                     range.owner.fencingToken, leaseDuration, range.owner.handover,
+                                     now + m_timing.grantTimeout});
 }
 
 void range_coordinator::appendRelease(range_state &range, time_point now,
@@ -369,9 +396,11 @@
     }
     range_state &range = *it;
     range.pendingCommand = 0;
-    recordResponse(range.owner.target, outcome != command_outcome::Unanswered, now);
+    const bool isAnswered =
+        outcome == command_outcome::Done || outcome == command_outcome::Outdated;
+    recordResponse(range.owner.target, isAnswered, now);
     if (range.state == phase::Releasing) {
-        if (outcome == command_outcome::Unanswered) {
+        if (!isAnswered) {
             range.nextCommandAt = now + m_timing.retryDelay;
             range.mayWaitForExpiry = true;
             bumpRevision();
@@ -409,8 +438,13 @@
         range.state = phase::Free;
         bumpRevision();
         break;
+    case command_outcome::NotSent:
     case command_outcome::Unanswered:
-        range.unconfirmedUntil = std::max(range.unconfirmedUntil, range.grantExpiresAt);
+        if (outcome == command_outcome::NotSent) {
+            range.grantExpiresAt = range.previousGrantExpiresAt;
+        } else {
+            range.unconfirmedUntil = std::max(range.unconfirmedUntil, range.grantExpiresAt);
+        }
         if (range.unansweredSince == time_point{}) {
             range.unansweredSince = range.commandSentAt;
         }
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -47,6 +47,10 @@
     CPPUNIT_TEST(terminatedOwnerDoesNotDelayNextOwner);
     CPPUNIT_TEST(unconfirmedGrantDelaysNextOwner);
     CPPUNIT_TEST(gapsInRecordedMapAreFilled);
+    CPPUNIT_TEST(restartedOwnerGivesUpItsKeysFirst);
+    CPPUNIT_TEST(grantSentLateDelaysNextOwner);
+    CPPUNIT_TEST(grantNotSentDelaysNobody);
+    CPPUNIT_TEST(undecodableRowIsNotClaimed);
     CPPUNIT_TEST_SUITE_END();
 
     void oneOwnerUnderFaults()
@@ -583,6 +587,156 @@
         }
         CPPUNIT_ASSERT_EQUAL(keyCount, covered);
     }
+
+    /// A target restarts under its name and address, and the registry shows this late. Until then
+    /// its new incarnation accepts renewals, so the keys must not get another owner before it has
+    /// released them.
+    void restartedOwnerGivesUpItsKeysFirst()
+    {
+        range_coordinator coordinator({}, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        owner_views currentViews = views(2);
+        currentViews["t1"].isWarmingUp = true; // It gets no keys at first.
+        std::uint64_t nextFencingToken = 8;
+        time_point grantedUntil{}; // Of the grants that the first target holds.
+        time_point movedAt{};
+        for (time_point now = start; now < start + seconds(4); now += milliseconds(50)) {
+            if (now >= start + seconds(1)) {
+                currentViews["t0"].incarnation = 2;
+                currentViews["t0"].isWarmingUp = true;
+                currentViews["t1"].isWarmingUp = false;
+            }
+            for (const range_command &command : coordinator.step(currentViews, forever, now)) {
+                const bool isFirst =
+                    std::visit([](const auto &o) { return o.target == "t0"; }, command);
+                const auto *grant = std::get_if<grant_command>(&command);
+                if (isFirst) {
+                    grantedUntil = grant ? now + grant->leaseDuration : time_point{};
+                } else {
+                    CPPUNIT_ASSERT_MESSAGE("two owners", !grant || now >= grantedUntil);
+                    movedAt = movedAt == time_point{} ? now : movedAt;
+                }
+                coordinator.onCommandFinished(
+                    std::visit([](const auto &o) { return o.number; }, command),
+                    command_outcome::Done, {}, now);
+            }
+            if (coordinator.hasUnrecordedChanges()) {
+                coordinator.prepareRecord(nextFencingToken);
+                coordinator.confirmRecord(now);
+            }
+        }
+        CPPUNIT_ASSERT(movedAt != time_point{});
+        CPPUNIT_ASSERT(movedAt < start + milliseconds(1500)); // It did not wait for the expiry.
+    }
+
+    /// A command waits for its connection and the network repeats it until the sender resets the
+    /// connection. The next owner waits for the expiry of a grant that was received that late.
+    void grantSentLateDelaysNextOwner()
+    {
+        range_coordinator coordinator({}, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        std::uint64_t nextFencingToken = 8;
+        time_point grantedUntil{}; // Of the grants that the first target holds.
+        time_point movedAt{};
+        std::vector<std::pair<time_point, command_id>> timeouts;
+        for (time_point now = start; now < start + seconds(8); now += milliseconds(10)) {
+            for (const auto &[at, number] : timeouts) {
+                if (at == now) {
+                    coordinator.onCommandFinished(number, command_outcome::Unanswered, {}, now);
+                }
+            }
+            for (const range_command &command : coordinator.step(views(2), forever, now)) {
+                if (const auto *grant = std::get_if<grant_command>(&command)) {
+                    if (grant->target != "t0") {
+                        CPPUNIT_ASSERT_MESSAGE("two owners", now >= grantedUntil);
+                        movedAt = movedAt == time_point{} ? now : movedAt;
+                        continue;
+                    }
+                    const time_point receivedAt =
+                        grant->deadline + coordinator_timing{}.maxNetworkDelay;
+                    grantedUntil =
+                        std::max(grantedUntil, receivedAt + grant->leaseDuration * 102 / 100);
+                    timeouts.emplace_back(grant->deadline, grant->number);
+                } else {
+                    timeouts.emplace_back(now + milliseconds(300),
+                                          std::get<release_command>(command).number);
+                }
+            }
+            if (coordinator.hasUnrecordedChanges()) {
+                coordinator.prepareRecord(nextFencingToken);
+                coordinator.confirmRecord(now);
+            }
+        }
+        CPPUNIT_ASSERT(movedAt != time_point{});
+    }
+
+    /// A command that was never sent does not delay the next owner.
+    void grantNotSentDelaysNobody()
+    {
+        range_coordinator coordinator({}, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        const auto commands = coordinator.step(views(2), forever, start);
+        coordinator.onCommandFinished(std::get<grant_command>(commands[0]).number,
+                                      command_outcome::NotSent, {}, start);
+        owner_views draining = views(2);
+        draining["t0"].mayOwn = false;
+        const time_point now = start + milliseconds(50);
+        for (const range_command &command : coordinator.step(draining, forever, now)) {
+            CPPUNIT_ASSERT(std::holds_alternative<release_command>(command));
+            coordinator.onCommandFinished(std::get<release_command>(command).number,
+                                          command_outcome::NotSent, {}, now);
+        }
+        coordinator.step(draining, forever, now + milliseconds(50));
+        std::uint64_t nextFencingToken = 8;
+        CPPUNIT_ASSERT(coordinator.hasUnrecordedChanges());
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"),
+                             coordinator.prepareRecord(nextFencingToken).front().target);
+    }
+
+    /// A new version of the coordinator's row that can't be decoded must not be replaced by the
+    /// owners of an older version: keys may have got other owners since.
+    void undecodableRowIsNotClaimed()
+    {
+        std::string row =
+            R"({"holder":"vm-9","incarnation":1,"epoch":3,"nextFence":9,"owners":{}})";
+        row_version version = 1;
+        int writes = 0;
+        time_point now = start;
+        store_port store;
+        store.read = [&](const std::string &, const std::string &, const row_callback &done) {
+            row_set rows;
+            rows.rows.push_back({"keeper", row, version, false});
+            done(std::move(rows));
+        };
+        store.commit = [&](const std::string &, const table_transaction &,
+                           const commit_callback &) { ++writes; };
+        target_pool targets{data_center_id("dc")};
+        membership peers{"vm-0"};
+        request_log log{"vm-0", -1};
+        coordinator_role role(
+            store, "own",
+            [](const range_command &, const std::string &,
+               const coordinator_role::command_callback &) {},
+            targets, peers, log, 1, seconds(10), true, [&] { return now; },
+            [](const owner_update &) {}, [](const owner_shares &) {});
+        deployment config;
+        config.services[service_id("lookup")].keyed = true;
+        role.setDeployment(config);
+        const auto runFor = [&](seconds span) {
+            for (const time_point end = now + span; now < end; now += milliseconds(50)) {
+                role.tick(now);
+            }
+        };
+        runFor(seconds(1));
+        row = "{}";
+        version = 2;
+        runFor(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(0, writes);
+        row = R"({"holder":"vm-9","incarnation":1,"epoch":4,"nextFence":12,"owners":{}})";
+        version = 3;
+        runFor(seconds(20));
+        CPPUNIT_ASSERT(writes > 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ranges_test, "ranges");
