The record keeps the incarnation that its fencing token was granted to

Callers would see two incarnations of a target with one fencing token (OWNER): while the next incarnation was to release its keys, the record named it with the token of the previous one, and a coordinator that took over renewed the grant there.

--- a/src/Ranges/range_coordinator.cpp
+++ b/src/Ranges/range_coordinator.cpp
@@ -162,7 +162,8 @@
         markFree(range); // The owner's process has terminated, or its last grant has expired.
         return;
     }
-    if (it != views.end() && it->second.incarnation > range.owner.incarnation) {
+    if (it != views.end()
+        && it->second.incarnation > std::max(range.owner.incarnation, range.nextIncarnation)) {
         reclaimFromNextIncarnation(range, it->second.incarnation, now);
         return;
     }
@@ -185,7 +186,9 @@
 void range_coordinator::reclaimFromNextIncarnation(range_state &range, std::int64_t incarnation,
                                                    time_point now)
 {
-    range.owner.incarnation = incarnation;
+    // The record names it only with a new fencing token: the next coordinator would grant it the
+    // old one.
+    range.nextIncarnation = incarnation;
     range.owner.handover.clear();
     if (range.state == phase::Releasing) {
         range.pendingCommand = 0; // The previous incarnation can't answer it any more.
@@ -232,6 +235,7 @@
 void range_coordinator::markFree(range_state &range)
 {
     range.state = phase::Free;
+    range.nextIncarnation = 0;
     range.pendingCommand = 0;
     range.unconfirmedUntil = time_point{};
     range.previousUnconfirmedUntil = time_point{};
@@ -381,8 +385,8 @@
     range.pendingCommand = ++m_lastCommand;
     range.commandSentAt = now;
     commands.push_back(release_command{range.pendingCommand, range.owner.target,
-                                       range.owner.incarnation, range.owner.keys,
-                                       range.owner.fencingToken});
+                                       std::max(range.owner.incarnation, range.nextIncarnation),
+                                       range.owner.keys, range.owner.fencingToken});
 }
 
 void range_coordinator::onCommandFinished(command_id number, command_outcome outcome,
@@ -512,6 +516,10 @@
             range.state = phase::Recording;
             range.owner.target = range.plannedTarget;
             range.owner.fencingToken = nextFencingToken++;
+            if (range.isRefencing) {
+                range.owner.incarnation = std::max(range.owner.incarnation, range.nextIncarnation);
+            }
+            range.nextIncarnation = 0;
         }
         if (range.owner.fencingToken != 0) {
             result.push_back(range.owner);
--- a/src/Ranges/range_coordinator.h
+++ b/src/Ranges/range_coordinator.h
@@ -163,6 +163,7 @@
     {
         range_owner owner;
         phase state = phase::Held;
+        std::int64_t nextIncarnation = 0; ///< of the owner, if it has restarted, else 0
         std::string plannedTarget; ///< the planned new owner, or empty for any
         time_point grantExpiresAt{}; ///< when all its grants have certainly expired
         time_point previousGrantExpiresAt{}; ///< the same without the pending command
--- a/test/ranges_test.cpp
+++ b/test/ranges_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(grantSentLateDelaysNextOwner);
     CPPUNIT_TEST(grantNotSentDelaysNobody);
     CPPUNIT_TEST(undecodableRowIsNotClaimed);
+    CPPUNIT_TEST(recordKeepsTheIncarnationOfItsToken);
     CPPUNIT_TEST_SUITE_END();
 
     void oneOwnerUnderFaults()
@@ -737,6 +738,27 @@
         runFor(seconds(20));
         CPPUNIT_ASSERT(writes > 0);
     }
+
+    /// Guards against two incarnations with the same fencing token: the record named the next
+    /// incarnation of an owner that was still to release its keys, and the next coordinator renewed
+    /// the grant there.
+    void recordKeepsTheIncarnationOfItsToken()
+    {
+        range_coordinator coordinator({}, {ownedByFirst()}, false, start);
+        const time_point forever = start + seconds(1000);
+        auto commands = coordinator.step(views(2), forever, start);
+        coordinator.onCommandFinished(std::get<grant_command>(commands.at(0)).number,
+                                      command_outcome::Done, {}, start);
+        owner_views restarted = views(2);
+        restarted["t0"].incarnation = 2;
+        commands = coordinator.step(restarted, forever, start + milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2},
+                             std::get<release_command>(commands.at(0)).incarnation);
+        std::uint64_t nextFencingToken = 8;
+        const range_owner recorded = coordinator.prepareRecord(nextFencingToken).at(0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, recorded.fencingToken);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, recorded.incarnation);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ranges_test, "ranges");
