Read the operators' rows again whenever a new era becomes known

What callers would see: evacuations and configurations take effect up to three seconds late after the store came back from an older copy.

Cause: the long poll of the operators' rows may survive the restore and waits for a revision of the earlier era until it times out. Only an era stated by another VM made a reader read again, not the one in the answers to its own reads of the registry and to the coordinator's calls.

Every way to learn of a new era now replaces a long poll in progress. node has no test of its own; the suites fleet, platform and transport pass.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -278,7 +278,7 @@
 void node::handleDigest(const membership_digest &digest, const std::string &fromIp)
 {
     const time_point now = mono_clock::now();
-    notePeerEra(digest.storeEra, now);
+    learnStoreEra(digest.storeEra, now);
     m_coordinatorRole.onMapVersion(digest.mapVersion);
     m_membership.apply(digest, now);
     m_targets.setRemoteLoads(data_center_id(digest.dataCenter), digest.loads, now);
@@ -308,7 +308,7 @@
 void node::coordinatorTick()
 {
     m_coordinatorRole.tick(mono_clock::now());
-    noteStoreEra(m_coordinatorRole.storeEra(), mono_clock::now());
+    learnStoreEra(m_coordinatorRole.storeEra(), mono_clock::now());
     const bool isCoordinator = m_coordinatorRole.isCoordinator(mono_clock::now());
     scheduleAfter(isCoordinator ? coordinatorInterval : heartbeatInterval,
                   [this] { coordinatorTick(); });
@@ -363,7 +363,7 @@
     if (beat.name == m_environment.name.str()) {
         return;
     }
-    notePeerEra(beat.storeEra, now);
+    learnStoreEra(beat.storeEra, now);
     m_coordinatorRole.onMapVersion(beat.mapVersion);
     if (m_membership.apply(beat, now)) {
         m_log.write(log_line("peer").add("name", beat.name).add("ip", fromIp));
@@ -611,9 +611,9 @@
     m_storeEra = era;
 }
 
-/// Processes the store's era as stated by another VM. This VM's own long poll may be waiting for a
-/// connection that was lost when the store was restored.
-void node::notePeerEra(store_era era, time_point now)
+/// Processes the store's era, as stated by another VM or in the answer to another call than those
+/// that follow the operators' rows. Their long poll may still wait for a change in an earlier era.
+void node::learnStoreEra(store_era era, time_point now)
 {
     const bool isRestored = m_storeEra != 0 && era > m_storeEra;
     noteStoreEra(era, now);
@@ -899,7 +899,7 @@
         const auto *rows = std::get_if<row_set>(&result);
         handleStoreAnswer(rows != nullptr, mono_clock::now());
         if (rows) {
-            noteStoreEra(rows->era, mono_clock::now());
+            learnStoreEra(rows->era, mono_clock::now());
             m_targetsUpdatedAt = mono_clock::now();
             applyTargets(*rows);
         }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -104,7 +104,7 @@
     bool isReady() const;
     void handleStoreAnswer(bool isSuccess, time_point now);
     void noteStoreEra(store_era era, time_point now);
-    void notePeerEra(store_era era, time_point now);
+    void learnStoreEra(store_era era, time_point now);
     void startShutdown();
     void continueShutdown();
     void scheduleAfter(duration span, std::function<void()> action);
