VMs read the coordinator's row of a new era one after the other

After a restore all VMs of the fleet read the row at once. They now start the delays by rank anew, as after the loss of a coordinator. Suites ranges and restore pass.

--- a/src/Ranges/coordinator_lease.h
+++ b/src/Ranges/coordinator_lease.h
@@ -119,6 +119,7 @@
         m_readVersion = unknownVersion;
         m_isUnheld = false;
         m_claimableSince = time_point{};
+        m_noHolderSince = now; // The VMs read the row one after the other.
         m_retryDelay = milliseconds(0);
         m_nextCallAt = now;
     }
