A repeated claim gives no fencing token out twice

Callers would see two targets with one fencing token (OWNER). A coordinator that continues from memory in a new era took the next fencing token from its last state on every attempt to claim the lease, while ranges kept the tokens of an attempt that the store had refused. Found by review; shown by refusedClaimGivesNoTokenTwice, which failed before (key 0 went from t1 to t2 with a token that was not above) with a scripted store that refuses one write. The counter now stays with the state that the tokens were given out of.

--- a/src/Node/coordinator_role.cpp
+++ b/src/Node/coordinator_role.cpp
@@ -571,6 +571,8 @@
         for (const auto &[service, coordinator] : m_suspended->coordinators) {
             m_row.owners[service] = coordinator->prepareRecord(m_row.nextFencingToken);
         }
+        // The ranges keep their new tokens if the claim fails.
+        m_suspended->row.nextFencingToken = m_row.nextFencingToken;
     } else {
         raiseCounters();
         if (m_claimBasis == claim_basis::ExpiredRecord) {
