A late renewal does not make current grants count as expired

Callers would see two targets work on the same keys (OWNER). A VM that claims the lease after all grants of a lost record have expired starts without them. That stayed in force: when its lease expired while a renewal was under way, and the answer made it coordinator again, it took its own extended leases for expired. Found by review; shown by lateRenewalAfterAClaimKeepsLeases, which failed before (key 0 went from t0 to t1 at 22.8 s, held until about 31 s). Stopping now ends the basis of the claim, and a state kept in memory ends when the lease is held.

--- a/src/Node/coordinator_role.cpp
+++ b/src/Node/coordinator_role.cpp
@@ -674,6 +674,7 @@
         m_claiming = false;
         startCoordinating();
     }
+    m_suspended.reset(); // From now on it is out of date.
     for (const auto &[service, coordinator] : m_coordinators) {
         coordinator->confirmRecord(now);
     }
@@ -687,7 +688,6 @@
     if (m_claimBasis == claim_basis::Memory) {
         m_coordinators = std::move(m_suspended->coordinators);
     }
-    m_suspended.reset();
     m_log.write(log_line("coordinator started")
                     .add("epoch", m_row.epoch)
                     .add("era", m_era)
@@ -732,6 +732,9 @@
     }
     m_coordinators.clear();
     m_publishedRevisions.clear();
+    // Grants may be in force when the lease turns out to be held all the same.
+    m_claimBasis = claim_basis::Record;
+    m_suspended.reset();
     m_pendingValue.clear();
     m_claiming = false;
     m_failingSince = time_point{};
--- a/test/restore_test.cpp
+++ b/test/restore_test.cpp
@@ -207,6 +207,7 @@
     CPPUNIT_TEST(ownersSurviveShortRestore);
     CPPUNIT_TEST(oneOwnerIfRestoreLosesNothing);
     CPPUNIT_TEST(refusedClaimGivesNoTokenTwice);
+    CPPUNIT_TEST(lateRenewalAfterAClaimKeepsLeases);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string firstOf(const std::vector<std::string> &texts)
