A VM that is not heard from may have been the last coordinator

Callers would see two targets work on the same keys (OWNER). After a restore the last coordinator continued from memory if most VMs were alive and knew of no later one. But a later one needs only the store: it may be in a cut-off minority. Found by review, which showed it with three VMs in a scratch program; here unheardVmMayHaveBeenCoordinator failed before (the VM became coordinator although one of two others was silent). The price: with one VM missing keys wait until all grants have expired.

--- a/src/Node/coordinator_role.cpp
+++ b/src/Node/coordinator_role.cpp
@@ -24,7 +24,7 @@
 constexpr unsigned epochEraShift = 16;
 constexpr unsigned fencingTokenEraShift = 32;
 /// A coordinator whose lease expired longer ago than this does not continue from memory. Until then
-/// the membership still lists every VM that may have replaced it.
+/// the membership lists every VM that was heard from before the lease expired.
 constexpr milliseconds maxSuspension{membership::removalTimeout / 2};
 
 command_id numberOf(const range_command &command)
@@ -430,12 +430,11 @@
 }
 
 /// \returns whether this VM was certainly the last coordinator of the previous era: it was until
-/// its lease expired, and most VMs are alive and have heard of no later one.
+/// its lease expired, and all other VMs are alive and have heard of no later one.
 bool coordinator_role::maySuspendedResume(time_point now) const
 {
-    constexpr double half = 0.5;
     return m_suspended && !m_rowExists && now < m_suspended->leaseEnd + maxSuspension
-        && m_newestEpoch <= m_suspended->row.epoch && m_membership.reachableShare(now) > half;
+        && m_newestEpoch <= m_suspended->row.epoch && m_membership.reachableShare(now) >= 1.0;
 }
 
 /// \returns when all grants that the rows of earlier eras may lack have certainly expired.
@@ -520,6 +519,7 @@
             return;
         }
         m_row = decoded ? std::move(*decoded) : coordinator_row{};
+        m_newestEpoch = std::max(m_newestEpoch, m_row.epoch);
     }
     if (!current) {
         m_lease.onRowRead(0, true, now);
--- a/src/Node/coordinator_role.h
+++ b/src/Node/coordinator_role.h
@@ -39,7 +39,7 @@
 /// gives out versions again and lacks the last changes. The row of a new era is created
 /// - by the coordinator of the previous era, which still holds its lease, or
 /// - by the VM that was the last coordinator, if its lease expired while the store was unreachable
-///   and most VMs are alive and know of no later one, or
+///   and all other VMs are alive and know of no later one, or
 /// - by any VM after all grants that the older rows may lack have certainly expired.
 ///
 /// \code
--- a/test/restore_test.cpp
+++ b/test/restore_test.cpp
@@ -208,6 +208,7 @@
     CPPUNIT_TEST(oneOwnerIfRestoreLosesNothing);
     CPPUNIT_TEST(refusedClaimGivesNoTokenTwice);
     CPPUNIT_TEST(lateRenewalAfterAClaimKeepsLeases);
+    CPPUNIT_TEST(unheardVmMayHaveBeenCoordinator);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string firstOf(const std::vector<std::string> &texts)
