--- a/review/standin/spoiled_trailer.cpp
+++ b/review/standin/spoiled_trailer.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t trailerBytes = 70000;
 constexpr int ledgerCallersPerNode = 6;
 constexpr int archiveCallersPerNode = 3;
+constexpr int archiveSlots = 2; // Few, so that both backends get requests.
 constexpr int budgetMs = 1500;
 constexpr int allowedLosses = 3; // LOST: "more than three times".
 
@@ -43,8 +44,8 @@
                 return false;
             });
     }
-    run.addBackend("i-archive-1", "archive", false);
-    backend &faulty = run.addBackend("i-archive-2", "archive", false);
+    run.addBackend("i-archive-1", "archive", false, archiveSlots);
+    backend &faulty = run.addBackend("i-archive-2", "archive", false, archiveSlots);
     std::atomic<bool> isSpoiling{false};
     std::atomic<int> answerCount{0};
     faulty.setInterceptor([&](http_stream &stream, const http_message &request) {
@@ -77,10 +78,7 @@
                     const bool isKept = requester.hasConnection() && answeredOnConnection > 0;
                     const call_outcome outcome = requester.call(
                         "POST", std::string(ledgerRoute) + "work-400/2f", id, {}, budgetMs);
-                    record.line("request " + id + ": "
-                                + (outcome.isAnswered     ? std::to_string(outcome.status)
-                                       : outcome.isClosed ? "connection closed, no answer"
-                                                          : "no connection, or no answer in time"));
+                    record.line("request " + id + ": " + textOf(outcome));
                     answered += outcome.isAnswered ? 1 : 0;
                     answeredOnConnection = outcome.isAnswered ? answeredOnConnection + 1 : 0;
                     const std::lock_guard lock(ranMutex);
@@ -100,7 +98,7 @@
                 for (int n = 0; !isOver; ++n) {
                     const std::string id =
                         place.name + "-a" + std::to_string(i) + "-" + std::to_string(n);
-                    requester.call("GET", std::string(archiveRoute) + "work-20/2f", id, {},
+                    requester.call("GET", std::string(archiveRoute) + "work-30/2f", id, {},
                                    budgetMs);
                     std::this_thread::sleep_for(milliseconds(50));
                 }
