--- a/review/standin/foreign_entry.cpp
+++ b/review/standin/foreign_entry.cpp
@@ -81,14 +81,12 @@
     std::vector<std::thread> threads;
     for (const auto &node : run.nodes()) {
         threads.emplace_back([&, place = node->place()] {
-            caller requester(place);
+            caller requester(record, place);
             for (int n = 0; !isOver; ++n) {
                 const std::string id = place.name + "-" + std::to_string(n);
                 const call_outcome outcome =
                     requester.call("GET", std::string(ranksRoute) + "work-300/2f", id,
                                    "Shard-Key: " + std::to_string(key) + "\r\n", budgetMs);
-                record.line("request " + id + ", key " + std::to_string(key) + ": "
-                            + std::to_string(outcome.status));
                 answered += outcome.status == 200 ? 1 : 0;
             }
         });
--- a/review/standin/long_entry.cpp
+++ b/review/standin/long_entry.cpp
@@ -70,11 +70,10 @@
         for (const auto &node : run.nodes()) {
             for (int i = 0; i < callersPerNode; ++i) {
                 threads.emplace_back([&, place = node->place(), i] {
-                    caller requester(place);
+                    caller requester(record, place);
                     const std::string id = place.name + "-" + name + "-" + std::to_string(i);
                     const call_outcome outcome = requester.call(
                         "POST", std::string(ledgerRoute) + "work-300/2f", id, {}, budgetMs);
-                    record.line("request " + id + ": " + textOf(outcome));
                     const std::lock_guard lock(mutex);
                     answered += outcome.status == 200 ? 1 : 0;
                     answeredByNode[place.name] += outcome.status == 200 ? 1 : 0;
--- a/review/standin/scenario.cpp
+++ b/review/standin/scenario.cpp
@@ -82,10 +82,12 @@
     if (method == "POST") {
         text += "Content-Length: 0\r\n";
     }
+    m_record.line("request " + id + " " + method + " " + path + " is sent to " + m_node.name);
     http_message answer;
     outcome.isAnswered = m_stream->write(text + "\r\n") && m_stream->read(answer, budgetMs);
     outcome.isClosed = !outcome.isAnswered && !m_stream->isTimedOut();
     outcome.status = answer.status;
+    m_record.line("request " + id + ": " + textOf(outcome));
     if (!outcome.isAnswered || answer.field("connection") == "close") {
         m_stream.reset();
     }
--- a/review/standin/scenario.h
+++ b/review/standin/scenario.h
@@ -28,12 +28,13 @@
 /// \returns \a outcome as a text for the record.
 std::string textOf(const call_outcome &outcome);
 
-/// A requester with one connection to one node, which it keeps.
+/// A requester with one connection to one node, which it keeps. Records what it sends and gets.
 class caller
 {
 public:
-    explicit caller(const node_place &node)
-        : m_node(node)
+    caller(run_record &record, const node_place &node)
+        : m_record(record)
+        , m_node(node)
     { }
 
     /// Sends a request and waits for its answer, at most for \a budgetMs. Opens a connection if it
@@ -44,6 +45,7 @@
     bool hasConnection() const { return m_stream != nullptr; }
 
 private:
+    run_record &m_record;
     node_place m_node;
     std::unique_ptr<http_stream> m_stream;
 };
--- a/review/standin/second_answer.cpp
+++ b/review/standin/second_answer.cpp
@@ -91,7 +91,7 @@
     for (const auto &node : run.nodes()) {
         for (int i = 0; i < callersPerNode; ++i) {
             threads.emplace_back([&, place = node->place(), i] {
-                caller requester(place);
+                caller requester(record, place);
                 for (int n = 0; !isOver; ++n) {
                     const std::string id =
                         place.name + "-" + std::to_string(i) + "-" + std::to_string(n);
@@ -105,7 +105,7 @@
     }
     std::this_thread::sleep_for(calmTime);
     threads.emplace_back([&] {
-        caller requester(run.nodes().front()->place());
+        caller requester(record, run.nodes().front()->place());
         const call_outcome outcome = requester.call("GET", std::string(ranksRoute) + "work-2000/2f",
                                                     "long-1", field, budgetMs);
         record.line("request long-1, key " + std::to_string(key) + ": "
--- a/review/standin/spoiled_trailer.cpp
+++ b/review/standin/spoiled_trailer.cpp
@@ -70,7 +70,7 @@
         const node_place place = node->place();
         for (int i = 0; i < ledgerCallersPerNode; ++i) {
             threads.emplace_back([&, place, i] {
-                caller requester(place);
+                caller requester(record, place);
                 int answeredOnConnection = 0;
                 for (int n = 0; !isOver; ++n) {
                     const std::string id =
@@ -78,7 +78,6 @@
                     const bool isKept = requester.hasConnection() && answeredOnConnection > 0;
                     const call_outcome outcome = requester.call(
                         "POST", std::string(ledgerRoute) + "work-400/2f", id, {}, budgetMs);
-                    record.line("request " + id + ": " + textOf(outcome));
                     answered += outcome.isAnswered ? 1 : 0;
                     answeredOnConnection = outcome.isAnswered ? answeredOnConnection + 1 : 0;
                     const std::lock_guard lock(ranMutex);
@@ -94,7 +93,7 @@
         }
         for (int i = 0; i < archiveCallersPerNode; ++i) {
             threads.emplace_back([&, place, i] {
-                caller requester(place);
+                caller requester(record, place);
                 for (int n = 0; !isOver; ++n) {
                     const std::string id =
                         place.name + "-a" + std::to_string(i) + "-" + std::to_string(n);
