Confine exceptions of handlers to what they serve

Cause: Beast's containers throw for a field above 65,533 bytes. The header limit does not cover trailers, so such a field reached them, in answers and in callers' requests; and nothing between a handler and io_context::run() caught an exception.

handler_guard runs the handlers of both kinds of connections, call results, requests, deadlines, datagrams, rows, periodic steps and signals. A failure ends only what the handler served, and is one log line and one count. This works for each next exception too, unlike a limit on trailers.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -93,9 +93,10 @@
     : m_loop(loop)
     , m_environment(std::move(environment))
     , m_incarnation(wallClockMillis())
-    , m_deadlines(loop)
     , m_log(m_environment.name.str())
-    , m_pool(loop, m_deadlines, requestIdField)
+    , m_guard([this](std::string_view part, std::string_view error) { reportFailure(part, error); })
+    , m_deadlines(loop, m_guard)
+    , m_pool(loop, m_deadlines, m_guard, requestIdField)
     , m_platform(makePort(m_pool))
     , m_targets(m_environment.dataCenter)
     , m_warmupProbe(m_targets)
@@ -104,8 +105,8 @@
     , m_tokens(
           m_environment.name.str(), [this](std::string_view name) { return limitOf(name); },
           [this] { return m_membership.reachableShare(mono_clock::now()); })
-    , m_router(m_deadlines, m_pool, m_targets, m_tokens, m_platform.headers, m_log, m_metrics,
-               [this] { sendTokenRequests(); })
+    , m_router(m_deadlines, m_guard, m_pool, m_targets, m_tokens, m_platform.headers, m_log,
+               m_metrics, [this] { sendTokenRequests(); })
     , m_coordinatorRole(
           m_platform.store, m_platform.ownTable,
           [this](const range_command &command, const std::string &address,
@@ -122,23 +123,24 @@
           [this](const std::vector<std::string> &ips, const peer_message &message) {
               sendTo(ips, message);
           })
-    , m_socket(loop, m_environment.ip, m_environment.peerPort,
+    , m_socket(loop, m_guard, m_environment.ip, m_environment.peerPort,
                [this](peer_message &&message, const std::string &ip) {
                    handleMessage(std::move(message), ip);
                })
     , m_callerListener(
-          loop, m_deadlines, m_environment.callerAddress,
+          loop, m_deadlines, m_guard, m_environment.callerAddress,
           [this] { return m_router.config() ? m_router.config()->limits : caller_limits{}; },
           [this](std::shared_ptr<http_exchange> exchange) { m_router.serve(std::move(exchange)); })
     , m_readinessListener(
-          loop, m_deadlines, m_environment.readyAddress, internalListenerLimits,
+          loop, m_deadlines, m_guard, m_environment.readyAddress, internalListenerLimits,
           [this](const std::shared_ptr<http_exchange> &exchange) { serveReadiness(*exchange); })
     , m_peerListener(
-          loop, m_deadlines, m_environment.ip + ":" + std::to_string(m_environment.peerPort),
-          internalListenerLimits,
+          loop, m_deadlines, m_guard,
+          m_environment.ip + ":" + std::to_string(m_environment.peerPort), internalListenerLimits,
           [this](const std::shared_ptr<http_exchange> &exchange) { servePeerRequest(*exchange); })
     , m_metricsListener(
-          loop, m_deadlines, m_environment.ip + ":" + std::to_string(m_environment.metricsPort),
+          loop, m_deadlines, m_guard,
+          m_environment.ip + ":" + std::to_string(m_environment.metricsPort),
           internalListenerLimits,
           [this](const std::shared_ptr<http_exchange> &exchange) { serveMetrics(*exchange); })
     , m_signals(loop, SIGTERM, SIGINT)
@@ -156,7 +158,7 @@
                     .add("store", m_environment.storeAddress));
     m_signals.async_wait([this](boost::system::error_code error, int) {
         if (!error) {
-            startShutdown();
+            m_guard.run("shutdown", [this] { startShutdown(); });
         }
     });
     m_startedAt = mono_clock::now();
@@ -167,29 +169,43 @@
     logTick();
 }
 
+void node::run()
+{
+    while (!m_guard.run("event loop", [this] { m_loop.run(); })) { }
+}
+
 void node::scheduleAfter(duration span, std::function<void()> action)
 {
     m_deadlines.add(mono_clock::now() + span, std::move(action));
 }
 
+void node::reportFailure(std::string_view part, std::string_view error)
+{
+    m_metrics.count("handler_failures");
+    m_log.write(log_line("handler failed").add("part", part).add("error", error));
+}
+
 // Heartbeats and roles.
 
 void node::heartbeatTick()
 {
+    // Scheduled first, and each step in its own guard, so that a failed step stops no other.
+    scheduleAfter(heartbeatInterval, [this] { heartbeatTick(); });
     const time_point now = mono_clock::now();
-    m_targets.setPeerInFlight(m_exchange.requestsElsewhere(now));
-    applyDrainedDataCenters(now); // Those remembered from before a restore end with time.
+    m_guard.run("target state", [&] {
+        m_targets.setPeerInFlight(m_exchange.requestsElsewhere(now));
+        applyDrainedDataCenters(now); // Those remembered from before a restore end with time.
+    });
     constexpr int heartbeatsPerLimitUpdate = 5;
     if (m_heartbeatCount++ % heartbeatsPerLimitUpdate == 0) {
-        updateLimits(now);
+        m_guard.run("limits", [&] { updateLimits(now); });
     }
-    sendDemand(now);
-    m_exchange.tick(now);
-    sendTokenRequests();
-    probeWarmups(now);
+    m_guard.run("demand", [&] { sendDemand(now); });
+    m_guard.run("heartbeat", [&] { m_exchange.tick(now); });
+    m_guard.run("token requests", [this] { sendTokenRequests(); });
+    m_guard.run("warm-up probes", [&] { probeWarmups(now); });
     m_router.setConfigStale(!m_router.config()
                             || now >= m_storeAnsweredAt + m_environment.bounds.contactTimeout);
-    scheduleAfter(heartbeatInterval, [this] { heartbeatTick(); });
 }
 
 std::uint64_t node::configVersion() const
@@ -245,8 +261,10 @@
 
 void node::coordinatorTick()
 {
-    m_coordinatorRole.tick(mono_clock::now());
-    learnStoreEra(m_coordinatorRole.storeEra(), mono_clock::now());
+    m_guard.run("coordinator", [this] {
+        m_coordinatorRole.tick(mono_clock::now());
+        learnStoreEra(m_coordinatorRole.storeEra(), mono_clock::now());
+    });
     const bool isCoordinator = m_coordinatorRole.isCoordinator(mono_clock::now());
     scheduleAfter(isCoordinator ? coordinatorInterval : heartbeatInterval,
                   [this] { coordinatorTick(); });
@@ -254,13 +272,13 @@
 
 void node::logTick()
 {
+    scheduleAfter(logFlushInterval, [this] { logTick(); });
     if (const std::uint64_t malformed = m_socket.counts().malformedCount;
         malformed > m_loggedMalformed) {
         m_log.write(log_line("malformed message").add("count", malformed - m_loggedMalformed));
         m_loggedMalformed = malformed;
     }
     m_log.flush();
-    scheduleAfter(logFlushInterval, [this] { logTick(); });
 }
 
 void node::handleMessage(peer_message &&message, const std::string &fromIp)
@@ -749,8 +767,9 @@
 /// Periodically starts the calls of the store that no other VM makes for this one.
 void node::storeTick()
 {
+    scheduleAfter(minRetryBackoff, [this] { storeTick(); });
     const time_point now = mono_clock::now();
-    registerSelf();
+    m_guard.run("registration", [this] { registerSelf(); });
     if (shouldReadStore(now)) {
         if (!m_followingOperatorRows) {
             readOperatorRows();
@@ -759,7 +778,6 @@
             readTargets();
         }
     }
-    scheduleAfter(minRetryBackoff, [this] { storeTick(); });
 }
 
 /// Reads the operators' rows completely and then follows their changes, in place of a read or a
@@ -769,24 +787,33 @@
     m_followingOperatorRows = true;
     const std::uint64_t number = ++m_operatorReadNumber;
     m_platform.store.read(m_platform.operatorTable, "", [this, number](row_result &&result) {
-        if (number != m_operatorReadNumber) {
-            return;
-        }
-        const time_point now = mono_clock::now();
-        const auto *rows = std::get_if<row_set>(&result);
-        handleStoreAnswer(rows != nullptr, now);
-        if (!rows) {
-            m_followingOperatorRows = false; // The next tick tries again.
-            return;
+        if (!m_guard.run("operator rows", [&] { handleOperatorRead(number, result); })) {
+            m_followingOperatorRows = false; // The next tick reads them again.
         }
-        noteStoreEra(rows->era, now);
-        m_operatorView.applyTable(processOperatorRows(*rows), {rows->era, rows->revision});
-        m_operatorRowsUpdatedAt = now;
-        applyDrainedDataCenters(now);
-        followOperatorRows(rows->revision);
     });
 }
 
+/// Processes the answer to a complete read of the operators' rows.
+/// \param number of the read
+void node::handleOperatorRead(std::uint64_t number, const row_result &result)
+{
+    if (number != m_operatorReadNumber) {
+        return;
+    }
+    const time_point now = mono_clock::now();
+    const auto *rows = std::get_if<row_set>(&result);
+    handleStoreAnswer(rows != nullptr, now);
+    if (!rows) {
+        m_followingOperatorRows = false; // The next tick tries again.
+        return;
+    }
+    noteStoreEra(rows->era, now);
+    m_operatorView.applyTable(processOperatorRows(*rows), {rows->era, rows->revision});
+    m_operatorRowsUpdatedAt = now;
+    applyDrainedDataCenters(now);
+    followOperatorRows(rows->revision);
+}
+
 void node::followOperatorRows(table_revision revision)
 {
     if (followedReader(mono_clock::now())) {
@@ -794,27 +821,36 @@
         return;
     }
     const std::uint64_t number = m_operatorReadNumber;
-    m_platform.store.follow(m_platform.operatorTable, revision, operatorPollTimeout,
-                            [this, number](row_result &&result) {
-                                if (number != m_operatorReadNumber) {
-                                    return;
-                                }
-                                const time_point now = mono_clock::now();
-                                const auto *rows = std::get_if<row_set>(&result);
-                                if (!rows) {
-                                    m_followingOperatorRows = false;
-                                    return;
-                                }
-                                noteStoreEra(rows->era, now);
-                                if (!m_operatorView.applyChanges(processOperatorRows(*rows),
-                                                                 {rows->era, rows->revision})) {
-                                    readOperatorRows();
-                                    return;
-                                }
-                                m_operatorRowsUpdatedAt = now;
-                                applyDrainedDataCenters(now);
-                                followOperatorRows(rows->revision);
-                            });
+    m_platform.store.follow(
+        m_platform.operatorTable, revision, operatorPollTimeout,
+        [this, number](row_result &&result) {
+            if (!m_guard.run("operator rows", [&] { handleOperatorChanges(number, result); })) {
+                m_followingOperatorRows = false; // The next tick reads them again.
+            }
+        });
+}
+
+/// Processes the answer to a long poll for changes of the operators' rows.
+/// \param number of the read that the poll continues
+void node::handleOperatorChanges(std::uint64_t number, const row_result &result)
+{
+    if (number != m_operatorReadNumber) {
+        return;
+    }
+    const time_point now = mono_clock::now();
+    const auto *rows = std::get_if<row_set>(&result);
+    if (!rows) {
+        m_followingOperatorRows = false;
+        return;
+    }
+    noteStoreEra(rows->era, now);
+    if (!m_operatorView.applyChanges(processOperatorRows(*rows), {rows->era, rows->revision})) {
+        readOperatorRows();
+        return;
+    }
+    m_operatorRowsUpdatedAt = now;
+    applyDrainedDataCenters(now);
+    followOperatorRows(rows->revision);
 }
 
 /// Applies the configuration among operators' rows.
@@ -823,7 +859,8 @@
 {
     std::vector<drain_change> drains;
     for (const table_row &row : rows.rows) {
-        const operator_update update = m_platform.decodeOperatorRow(row);
+        operator_update update;
+        m_guard.run("operator row", [&] { update = m_platform.decodeOperatorRow(row); });
         if (update.config) {
             applyConfig(update.config, row.value);
         } else if (!update.drainedDataCenter.empty()) {
@@ -927,7 +964,9 @@
     const time_point now = mono_clock::now();
     std::vector<target_record> records;
     for (const table_row &row : rows.rows) {
-        if (auto record = m_platform.decodeTarget(row)) {
+        std::optional<target_record> record;
+        m_guard.run("target row", [&] { record = m_platform.decodeTarget(row); });
+        if (record) {
             records.push_back(std::move(*record));
         } else {
             m_log.write(log_line("row skipped").add("row", row.name));
@@ -1078,20 +1117,21 @@
     if (m_shuttingDown) {
         return;
     }
-    m_log.write(log_line("stop").add("underWay", m_router.inFlightCount()));
     m_shuttingDown = true;
+    scheduleAfter(shutdownAcceptTime, [this] { continueShutdown(); });
+    m_log.write(log_line("stop").add("underWay", m_router.inFlightCount()));
     m_shutdownDeadline = mono_clock::now() + m_environment.bounds.gracePeriod - shutdownMargin;
     m_router.setAnswersUntil(m_shutdownDeadline);
     m_callerListener.drain();
     m_coordinatorRole.shutDown(mono_clock::now());
     m_exchange.sendHeartbeats(mono_clock::now());
-    scheduleAfter(shutdownAcceptTime, [this] { continueShutdown(); });
 }
 
 void node::continueShutdown()
 {
     // The platform may still send callers here when few VMs of a data centre are left. If they were
     // accepted until the deadline, the last requests would be aborted.
+    scheduleAfter(heartbeatInterval, [this] { continueShutdown(); });
     m_callerListener.stopAccepting();
     m_callerListener.closeIdle();
     const time_point now = mono_clock::now();
@@ -1100,9 +1140,7 @@
         m_log.write(log_line("stopped").add("underWay", m_router.inFlightCount()));
         m_log.flush();
         m_loop.stop();
-        return;
     }
-    scheduleAfter(heartbeatInterval, [this] { continueShutdown(); });
 }
 
 } // namespace damaskward
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -12,6 +12,7 @@
 #include "../Fleet/vm_environment.h"
 #include "../Fleet/warmup_probe.h"
 #include "../Proxy/deadline_queue.h"
+#include "../Proxy/handler_guard.h"
 #include "../Proxy/http_listener.h"
 #include "../Proxy/outgoing_pool.h"
 #include "../Proxy/request_log.h"
@@ -38,7 +39,7 @@
 /// \code
 /// boost::asio::io_context loop;
 /// node vm(loop, environment, makePort);
-/// loop.run();
+/// vm.run();
 /// \endcode
 class node
 {
@@ -51,6 +52,10 @@
     node(boost::asio::io_context &loop, vm_environment environment,
          const std::string &requestIdField, const port_maker &makePort);
 
+    /// Runs the event loop until this VM has shut down. An exception that no component has confined
+    /// is reported, and the loop continues.
+    void run();
+
 private:
     void start();
     void heartbeatTick();
@@ -78,6 +83,8 @@
     void fetchFromPeer(const std::string &ip, const std::string &path,
                        std::function<void(const std::string &body)> done);
     void applyTargets(const row_set &rows);
+    void handleOperatorRead(std::uint64_t number, const row_result &result);
+    void handleOperatorChanges(std::uint64_t number, const row_result &result);
     void registerSelf();
     void discoverVms();
     void rediscoverVms();
@@ -114,13 +121,15 @@
     void startShutdown();
     void continueShutdown();
     void scheduleAfter(duration span, std::function<void()> action);
+    void reportFailure(std::string_view part, std::string_view error);
 
     boost::asio::io_context &m_loop;
     vm_environment m_environment;
     std::int64_t m_incarnation;
-    deadline_queue m_deadlines;
     request_log m_log;
     metrics m_metrics;
+    handler_guard m_guard;
+    deadline_queue m_deadlines;
     outgoing_pool m_pool;
     platform_port m_platform;
     target_pool m_targets;
--- a/src/Node/peer_socket.cpp
+++ b/src/Node/peer_socket.cpp
@@ -4,9 +4,10 @@
 using boost::asio::ip::udp;
 using boost::system::error_code;
 
-peer_socket::peer_socket(boost::asio::io_context &loop, const std::string &ip, std::uint16_t port,
-                         handler received)
-    : m_socket(loop, udp::endpoint(boost::asio::ip::make_address(ip), port))
+peer_socket::peer_socket(boost::asio::io_context &loop, const handler_guard &guard,
+                         const std::string &ip, std::uint16_t port, handler received)
+    : m_guard(guard)
+    , m_socket(loop, udp::endpoint(boost::asio::ip::make_address(ip), port))
     , m_port(port)
     , m_received(std::move(received))
 {
@@ -37,14 +38,19 @@
             if (!error) {
                 ++m_counts.receivedCount;
                 m_counts.receivedBytes += count;
-                if (auto message = decodeMessage({m_buffer.data(), count})) {
-                    m_received(std::move(*message), m_from.address().to_string());
-                } else {
-                    ++m_counts.malformedCount; // The node logs the count.
-                }
+                m_guard.run("peer message", [&] { handleDatagram({m_buffer.data(), count}); });
             }
             receive();
         });
 }
 
+void peer_socket::handleDatagram(std::string_view datagram)
+{
+    if (auto message = decodeMessage(datagram)) {
+        m_received(std::move(*message), m_from.address().to_string());
+    } else {
+        ++m_counts.malformedCount; // The node logs the count.
+    }
+}
+
 } // namespace damaskward
--- a/src/Node/peer_socket.h
+++ b/src/Node/peer_socket.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "../Proxy/handler_guard.h"
 #include "peer_message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,20 +20,20 @@
 /// loop's thread.
 ///
 /// \code
-/// peer_socket socket(loop, "10.1.0.37", 7560, [](peer_message &&m, const std::string &ip) {});
-/// socket.send("10.1.0.38", message);
-/// \endcode
+/// peer_socket socket(loop, guard, "10.1.0.37", 7560, [](peer_message &&m, const std::string &ip)
+/// {}); socket.send("10.1.0.38", message); \endcode
 class peer_socket
 {
 public:
     using handler = std::function<void(peer_message &&, const std::string &fromIp)>;
 
+    /// \param guard runs the handler; a message whose handler fails is dropped
     /// \param ip this VM's address
     /// \param port the local port, and the port of all other VMs
     /// \param received called with each well-formed message and its sender's address
     /// \throws boost::system::system_error if the port is already in use
-    peer_socket(boost::asio::io_context &loop, const std::string &ip, std::uint16_t port,
-                handler received);
+    peer_socket(boost::asio::io_context &loop, const handler_guard &guard, const std::string &ip,
+                std::uint16_t port, handler received);
 
     void send(const std::string &ip, const peer_message &message)
     {
@@ -55,6 +56,9 @@
 private:
     void receive();
 
+    void handleDatagram(std::string_view datagram);
+
+    const handler_guard &m_guard;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_from;
     std::array<char, 65536> m_buffer{};
--- a/src/Proxy/deadline_queue.h
+++ b/src/Proxy/deadline_queue.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "../Core/time.h"
+#include "handler_guard.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,8 +29,10 @@
 public:
     using deadline_id = std::uint64_t; ///< 0 means no deadline
 
-    explicit deadline_queue(boost::asio::io_context &loop)
-        : m_timer(loop)
+    /// \param guard runs the functions; one that fails does not affect the other deadlines
+    deadline_queue(boost::asio::io_context &loop, const handler_guard &guard)
+        : m_guard(guard)
+        , m_timer(loop)
     { }
 
     /// Calls \a action at \a at.
@@ -85,10 +88,11 @@
             const auto action = std::move(m_queue.begin()->second.second);
             m_entries.erase(m_queue.begin()->second.first);
             m_queue.erase(m_queue.begin());
-            action();
+            m_guard.run("deadline", action);
         }
     }
 
+    const handler_guard &m_guard;
     boost::asio::steady_timer m_timer;
     queue m_queue;
     std::map<deadline_id, queue::iterator> m_entries;
--- a/src/Proxy/http_listener.cpp
+++ b/src/Proxy/http_listener.cpp
@@ -102,28 +102,7 @@
         if (m_isWriting || m_isClosed || m_pending.empty() || !m_pending.front()->m_isAnswered) {
             return;
         }
-        m_isWriting = true;
-        http_exchange &exchange = *m_pending.front();
-        http_answer &answer = exchange.m_answer;
-        const bool noBody = exchange.m_request.method() == http::verb::head
-            || answer.result() == http::status::no_content
-            || answer.result() == http::status::not_modified;
-        if (answer.result() != http::status::no_content) {
-            answer.set(http::field::content_length, std::to_string(answer.body().size()));
-        }
-        m_closeAfterWrite = m_closeAfterWrite || m_listener.isDraining()
-            || !exchange.m_request.keep_alive() || (m_isParsingStopped && m_pending.size() == 1);
-        if (m_closeAfterWrite) {
-            answer.set(http::field::connection, "close");
-        }
-        m_head = headText(answer);
-        const std::array<boost::asio::const_buffer, 2> buffers{
-            boost::asio::buffer(m_head),
-            noBody ? boost::asio::const_buffer() : boost::asio::buffer(answer.body())};
-        boost::asio::async_write(m_socket, buffers,
-                                 [self = shared_from_this()](error_code error, std::size_t) {
-                                     self->handleWritten(error);
-                                 });
+        runGuarded([this] { writeAnswer(); });
     }
 
     bool isIdle() const { return m_pending.empty() && !m_parser && m_buffer.size() == 0; }
@@ -139,14 +118,11 @@
         m_socket.close(ignored);
         const auto pending = std::move(m_pending);
         m_pending.clear();
+        m_listener.m_connections.erase(shared_from_this());
         for (const auto &exchange : pending) {
-            if (!exchange->m_isAnswered && exchange->m_onDisconnect) {
-                exchange->m_onDisconnect();
-            }
-            exchange->m_onDisconnect = nullptr;
+            notifyDisconnect(*exchange);
             exchange->m_onHeadOfLine = nullptr;
         }
-        m_listener.m_connections.erase(shared_from_this());
     }
 
     bool isHeadOfLine(const http_exchange &exchange) const
@@ -157,6 +133,33 @@
 private:
     using request_parser = http::request_parser<http::string_body>;
 
+    /// Runs a handler of this connection. An exception closes it.
+    template <typename Handler>
+    void runGuarded(Handler &&handler)
+    {
+        if (!m_listener.m_guard.run("caller connection", std::forward<Handler>(handler))) {
+            close();
+        }
+    }
+
+    /// Runs an action that serves \a exchange. An exception ends only this request.
+    template <typename Action>
+    void runForRequest(http_exchange &exchange, Action &&action)
+    {
+        if (!m_listener.m_guard.run("request handler", std::forward<Action>(action))) {
+            exchange.answer(plainAnswer(500));
+        }
+    }
+
+    void notifyDisconnect(http_exchange &exchange)
+    {
+        const auto action = std::move(exchange.m_onDisconnect);
+        exchange.m_onDisconnect = nullptr;
+        if (!exchange.m_isAnswered && action) {
+            m_listener.m_guard.run("request handler", action);
+        }
+    }
+
     void read()
     {
         if (m_isReading || m_isClosed || m_buffer.size() >= maxUnparsedBytes) {
@@ -166,7 +169,7 @@
         m_socket.async_read_some(m_buffer.prepare(readChunkBytes),
                                  [self = shared_from_this()](error_code error, std::size_t count) {
                                      self->m_isReading = false;
-                                     self->handleRead(error, count);
+                                     self->runGuarded([&] { self->handleRead(error, count); });
                                  });
     }
 
@@ -184,10 +187,19 @@
             return;
         }
         m_buffer.commit(count);
-        parse();
+        parseInput();
         read();
     }
 
+    /// Parses what has been read. Input at which the parser throws, such as a trailer with an
+    /// oversized field, is malformed; the requests before it are still answered.
+    void parseInput()
+    {
+        if (!m_listener.m_guard.run("request parser", [this] { parse(); })) {
+            rejectAndClose(400);
+        }
+    }
+
     void parse()
     {
         while (!m_isParsingStopped && !m_isClosed && m_buffer.size() > 0
@@ -257,7 +269,7 @@
             exchange->answer(plainAnswer(400));
             return;
         }
-        m_listener.m_serve(exchange);
+        runForRequest(*exchange, [&] { m_listener.m_serve(exchange); });
     }
 
     void rejectMalformed(error_code error)
@@ -281,6 +293,32 @@
         exchange->answer(plainAnswer(status));
     }
 
+    void writeAnswer()
+    {
+        m_isWriting = true;
+        http_exchange &exchange = *m_pending.front();
+        http_answer &answer = exchange.m_answer;
+        const bool noBody = exchange.m_request.method() == http::verb::head
+            || answer.result() == http::status::no_content
+            || answer.result() == http::status::not_modified;
+        if (answer.result() != http::status::no_content) {
+            answer.set(http::field::content_length, std::to_string(answer.body().size()));
+        }
+        m_closeAfterWrite = m_closeAfterWrite || m_listener.isDraining()
+            || !exchange.m_request.keep_alive() || (m_isParsingStopped && m_pending.size() == 1);
+        if (m_closeAfterWrite) {
+            answer.set(http::field::connection, "close");
+        }
+        m_head = headText(answer);
+        const std::array<boost::asio::const_buffer, 2> buffers{
+            boost::asio::buffer(m_head),
+            noBody ? boost::asio::const_buffer() : boost::asio::buffer(answer.body())};
+        boost::asio::async_write(m_socket, buffers,
+                                 [self = shared_from_this()](error_code error, std::size_t) {
+                                     self->runGuarded([&] { self->handleWritten(error); });
+                                 });
+    }
+
     void handleWritten(error_code error)
     {
         m_isWriting = false;
@@ -297,14 +335,15 @@
             return;
         }
         if (!m_pending.empty() && m_pending.front()->m_onHeadOfLine) {
-            const auto action = std::move(m_pending.front()->m_onHeadOfLine);
-            m_pending.front()->m_onHeadOfLine = nullptr;
-            action();
+            const auto exchange = m_pending.front();
+            const auto action = std::move(exchange->m_onHeadOfLine);
+            exchange->m_onHeadOfLine = nullptr;
+            runForRequest(*exchange, action);
         }
         if (m_pending.empty()) {
             startIdleTimeout();
         }
-        parse();
+        parseInput();
         read();
         flush();
     }
@@ -317,9 +356,7 @@
         const auto pending = std::move(m_pending);
         m_pending.clear();
         for (const auto &exchange : pending) {
-            if (!exchange->m_isAnswered && exchange->m_onDisconnect) {
-                exchange->m_onDisconnect();
-            }
+            notifyDisconnect(*exchange);
         }
         error_code ignored; // If the peer has disconnected, the read below fails and closes.
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -337,7 +374,7 @@
             m_listener.m_deadlines.add(mono_clock::now() + span, [weak = weak_from_this()] {
                 if (const auto self = weak.lock()) {
                     self->m_deadline = 0;
-                    self->handleTimeout();
+                    self->runGuarded([&] { self->handleTimeout(); });
                 }
             });
     }
@@ -400,9 +437,11 @@
 }
 
 http_listener::http_listener(boost::asio::io_context &loop, deadline_queue &deadlines,
-                             const std::string &address, limits_source limits, handler serve)
+                             const handler_guard &guard, const std::string &address,
+                             limits_source limits, handler serve)
     : m_loop(loop)
     , m_deadlines(deadlines)
+    , m_guard(guard)
     , m_acceptor(loop, tcpEndpoint(address), true)
     , m_limits(std::move(limits))
     , m_serve(std::move(serve))
@@ -444,10 +483,13 @@
             m_deadlines.add(mono_clock::now() + acceptRetryDelay, [this] { accept(); });
             return;
         }
-        setUpSocket(socket);
-        auto connection = std::make_shared<internal::caller_connection>(*this, std::move(socket));
-        m_connections.insert(connection);
-        connection->start();
+        m_guard.run("accept", [&] {
+            setUpSocket(socket);
+            auto connection =
+                std::make_shared<internal::caller_connection>(*this, std::move(socket));
+            m_connections.insert(connection);
+            connection->start();
+        });
         accept();
     });
 }
--- a/src/Proxy/http_listener.h
+++ b/src/Proxy/http_listener.h
@@ -6,6 +6,7 @@
 #include "../Core/time.h"
 #include "../Fleet/deployment.h"
 #include "deadline_queue.h"
+#include "handler_guard.h"
 #include "http_message.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -77,11 +78,14 @@
     using handler = std::function<void(std::shared_ptr<http_exchange>)>;
     using limits_source = std::function<caller_limits()>;
 
+    /// \param guard runs the handlers; a request whose handler fails is answered 500, and a
+    /// connection whose input cannot be parsed is closed
     /// \param address IP:PORT to listen at
     /// \param limits returns the current limits; called for each request
     /// \throws boost::system::system_error when it cannot listen at the address
     http_listener(boost::asio::io_context &loop, deadline_queue &deadlines,
-                  const std::string &address, limits_source limits, handler serve);
+                  const handler_guard &guard, const std::string &address, limits_source limits,
+                  handler serve);
     ~http_listener();
 
     /// Makes every further answer close its connection.
@@ -100,6 +104,7 @@
 
     boost::asio::io_context &m_loop;
     deadline_queue &m_deadlines;
+    const handler_guard &m_guard;
     boost::asio::ip::tcp::acceptor m_acceptor;
     limits_source m_limits;
     handler m_serve;
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -149,13 +149,28 @@
         m_callback = nullptr;
         abort();
         if (done) {
-            done({failure, {}, m_sentAt});
+            finishCall(done, {failure, {}, m_sentAt});
         }
     }
 
 private:
     using answer_parser = http::response_parser<http::string_body>;
 
+    /// Runs a handler of this connection. An exception fails the call in flight.
+    template <typename Handler>
+    void runGuarded(Handler &&handler)
+    {
+        if (!m_pool.m_guard.run("outgoing connection", std::forward<Handler>(handler))) {
+            fail(call_failure::InvalidAnswer);
+        }
+    }
+
+    /// Passes a result to the caller, whose exceptions are not failures of this connection.
+    void finishCall(const outgoing_pool::callback &done, call_result &&result)
+    {
+        m_pool.m_guard.run("call result", [&] { done(std::move(result)); });
+    }
+
     /// \returns whether the peer has sent anything or closed the connection since the last read.
     /// The bytes belong to no later call.
     bool hasUnreadInput()
@@ -182,7 +197,7 @@
                 }
             });
         m_socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
-            self->handleConnect(error);
+            self->runGuarded([&] { self->handleConnect(error); });
         });
     }
 
@@ -226,7 +241,7 @@
     {
         m_socket.async_read_some(m_buffer.prepare(readChunkBytes),
                                  [self = shared_from_this()](error_code error, std::size_t count) {
-                                     self->handleRead(error, count);
+                                     self->runGuarded([&] { self->handleRead(error, count); });
                                  });
     }
 
@@ -339,7 +354,7 @@
         } else {
             close();
         }
-        done({call_failure::None, std::move(answer), m_sentAt});
+        finishCall(done, {call_failure::None, std::move(answer), m_sentAt});
     }
 
     /// \returns whether \a answer is a duplicate, or a late answer to an earlier call. On a reused
@@ -416,9 +431,10 @@
 }
 
 outgoing_pool::outgoing_pool(boost::asio::io_context &loop, deadline_queue &deadlines,
-                             std::string idField)
+                             const handler_guard &guard, std::string idField)
     : m_loop(loop)
     , m_deadlines(deadlines)
+    , m_guard(guard)
     , m_idField(std::move(idField))
 { }
 
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -5,6 +5,7 @@
 
 #include "../Core/time.h"
 #include "deadline_queue.h"
+#include "handler_guard.h"
 #include "http_message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -100,8 +101,10 @@
 public:
     using callback = std::function<void(call_result &&)>;
 
+    /// \param guard runs the handlers; a connection whose handler fails is closed
     /// \param idField the header field that carries a call's id in its answer
-    outgoing_pool(boost::asio::io_context &loop, deadline_queue &deadlines, std::string idField);
+    outgoing_pool(boost::asio::io_context &loop, deadline_queue &deadlines,
+                  const handler_guard &guard, std::string idField);
     ~outgoing_pool();
 
     /// Sends \a call. \a done is called once, never from within this function.
@@ -123,6 +126,7 @@
 
     boost::asio::io_context &m_loop;
     deadline_queue &m_deadlines;
+    const handler_guard &m_guard;
     std::string m_idField;
     std::map<std::string, std::vector<connection_ptr>, std::less<>> m_idle;
     std::set<internal::outgoing_connection *> m_receiving; ///< those with an incomplete answer
--- a/src/Proxy/request_router.cpp
+++ b/src/Proxy/request_router.cpp
@@ -66,6 +66,36 @@
     { }
 
     void start()
+    {
+        runStep([this] { begin(); });
+    }
+
+    /// Sends the request if its deadline, limits and targets allow, or else lets it wait or refuses
+    /// it. Called again whenever a condition that it waits for may have changed.
+    void advance()
+    {
+        runStep([this] { tryAdvance(); });
+    }
+
+    bool isDone() const { return m_isDone; }
+
+private:
+    /// Runs one step of the request. After an exception it is ended like one that failed.
+    /// \param mayHaveRun whether a target may have run the request when the step begins
+    template <typename Step>
+    void runStep(Step &&step, bool mayHaveRun = false)
+    {
+        if (m_router.m_guard.run("request", std::forward<Step>(step)) || m_isDone) {
+            return;
+        }
+        const bool wasSending = m_isSending;
+        const bool maySent = m_call.cancel();
+        m_mayHaveRun = m_mayHaveRun || mayHaveRun || (wasSending && maySent);
+        releaseInFlight();
+        fail("internal error");
+    }
+
+    void begin()
     {
         m_exchange->onDisconnect([weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -104,9 +134,7 @@
         });
     }
 
-    /// Sends the request if its deadline, limits and targets allow, or else lets it wait or refuses
-    /// it. Called again whenever a condition that it waits for may have changed.
-    void advance()
+    void tryAdvance()
     {
         if (m_isDone || m_isSending) {
             return;
@@ -126,9 +154,6 @@
         }
     }
 
-    bool isDone() const { return m_isDone; }
-
-private:
     const http_request &request() const { return m_exchange->request(); }
     std::string_view field(const std::string &name) const { return fieldOf(request(), name); }
 
@@ -189,7 +214,7 @@
         m_deadlineId = m_router.m_deadlines.add(m_deadline, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
                 self->m_deadlineId = 0;
-                self->timeOut("deadline");
+                self->runStep([&] { self->timeOut("deadline"); });
             }
         });
     }
@@ -384,6 +409,9 @@
     void send(target_state &target, time_point now)
     {
         m_router.m_deadlines.remove(m_wakeUpId);
+        outgoing_call call;
+        call.head = makeRequestHead(target, now);
+        call.body = request().body();
         m_isSending = true;
         m_target = target.record.name;
         m_targetIncarnation = target.record.incarnation;
@@ -394,21 +422,19 @@
         m_targetHadFreeSlot = target_pool::expectedLoad(target, now) < target.record.slots;
         target_pool::recordRequestSent(target);
         m_router.m_targets.recordProbe(target, now);
-        outgoing_call call;
         call.connectionKey = m_target;
         call.address = target.record.address;
-        call.head = makeRequestHead(target, now);
-        call.body = request().body();
         call.isHeadRequest = request().method() == http::verb::head;
         call.expectedAnswerId = std::string(field(m_router.m_names.requestId));
         call.deadline = m_deadline;
         call.freshOnly = !mayRepeat(m_route->kind);
         // A refusal that the target repeats has the same id as the answer to the retry.
         call.needsNewConnection = !mayRepeat(m_route->kind) && m_refusedBy.count(m_target) != 0;
-        m_call = m_router.m_pool.send(std::move(call),
-                                      [self = shared_from_this()](call_result &&result) {
-                                          self->handleResult(std::move(result));
-                                      });
+        m_call = m_router.m_pool.send(
+            std::move(call), [self = shared_from_this()](call_result &&result) {
+                const bool mayHaveRun = !neverSent(result.failure);
+                self->runStep([&] { self->handleResult(std::move(result)); }, mayHaveRun);
+            });
     }
 
     std::string makeRequestHead(const target_state &target, time_point now)
@@ -844,10 +870,12 @@
 
 } // namespace internal
 
-request_router::request_router(deadline_queue &deadlines, outgoing_pool &pool, target_pool &targets,
-                               rate_limiter &tokens, header_names names, request_log &log,
-                               metrics &counts, std::function<void()> requestTokens)
+request_router::request_router(deadline_queue &deadlines, const handler_guard &guard,
+                               outgoing_pool &pool, target_pool &targets, rate_limiter &tokens,
+                               header_names names, request_log &log, metrics &counts,
+                               std::function<void()> requestTokens)
     : m_deadlines(deadlines)
+    , m_guard(guard)
     , m_pool(pool)
     , m_targets(targets)
     , m_tokens(tokens)
--- a/src/Proxy/request_router.h
+++ b/src/Proxy/request_router.h
@@ -36,18 +36,19 @@
 /// The router itself answers 429 or 503 only to a request that no target has run or may still run.
 ///
 /// \code
-/// request_router router(deadlines, pool, targets, tokens, names, log, counts, requestTokens);
-/// http_listener front(loop, deadlines, address, limits,
+/// request_router router(deadlines, guard, pool, targets, tokens, names, log, counts,
+/// requestTokens); http_listener front(loop, deadlines, address, limits,
 ///                     [&](auto exchange) { router.serve(std::move(exchange)); });
 /// \endcode
 class request_router
 {
 public:
+    /// \param guard runs each step of a request; one whose step fails is ended
     /// \param requestTokens sends the pending token requests; called when a request waits for a
     /// token
-    request_router(deadline_queue &deadlines, outgoing_pool &pool, target_pool &targets,
-                   rate_limiter &tokens, header_names names, request_log &log, metrics &counts,
-                   std::function<void()> requestTokens);
+    request_router(deadline_queue &deadlines, const handler_guard &guard, outgoing_pool &pool,
+                   target_pool &targets, rate_limiter &tokens, header_names names, request_log &log,
+                   metrics &counts, std::function<void()> requestTokens);
     ~request_router();
 
     void serve(std::shared_ptr<http_exchange> exchange);
@@ -89,6 +90,7 @@
     void resumeWaiting();
 
     deadline_queue &m_deadlines;
+    const handler_guard &m_guard;
     outgoing_pool &m_pool;
     target_pool &m_targets;
     rate_limiter &m_tokens;
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -53,17 +53,19 @@
     using target_handler = std::function<void(std::shared_ptr<http_exchange>)>;
 
     router_fixture()
-        : m_deadlines(m_loop)
-        , m_pool(m_loop, m_deadlines, "Id")
-        , m_callers(m_loop, m_deadlines, "Id")
+        : m_guard([this](std::string_view, std::string_view) { ++m_failures; })
+        , m_deadlines(m_loop, m_guard)
+        , m_pool(m_loop, m_deadlines, m_guard, "Id")
+        , m_callers(m_loop, m_deadlines, m_guard, "Id")
         , m_tokens(
               "vm", [](std::string_view) { return std::nullopt; }, [] { return 1.0; })
         , m_log("vm", -1)
         , m_frontAddress(freeAddress())
         , targets(data_center_id("near"))
-        , router(m_deadlines, m_pool, targets, m_tokens, testNames(), m_log, m_metrics, [] {})
+        , router(m_deadlines, m_guard, m_pool, targets, m_tokens, testNames(), m_log, m_metrics,
+                 [] {})
         , m_front(
-              m_loop, m_deadlines, m_frontAddress, [] { return caller_limits{}; },
+              m_loop, m_deadlines, m_guard, m_frontAddress, [] { return caller_limits{}; },
               [this](std::shared_ptr<http_exchange> exchange) {
                   router.serve(std::move(exchange));
               })
@@ -87,7 +89,8 @@
         router.setRetryLimits(1.0, 100.0);
     }
 
-    /// Starts a target and adds it to the registry, for a keyed service as the owner of all keys.
+    /// Starts a target and adds it to the registry, for a keyed service as the owner of all
+    /// keys.
     void addTarget(const std::string &name, const std::string &service, target_handler serve)
     {
         target_record record;
@@ -99,7 +102,7 @@
         record.heartbeatCounter = 10;
         record.slots = 2;
         m_targetListeners.push_back(std::make_unique<http_listener>(
-            m_loop, m_deadlines, record.address, [] { return caller_limits{}; },
+            m_loop, m_deadlines, m_guard, record.address, [] { return caller_limits{}; },
             [this, name, serve = std::move(serve)](std::shared_ptr<http_exchange> exchange) {
                 arrivals[name].push_back(mono_clock::now());
                 serve(std::move(exchange));
@@ -138,6 +141,7 @@
             m_loop.run_one();
         }
         CPPUNIT_ASSERT(answered->failure == call_failure::None);
+        CPPUNIT_ASSERT_EQUAL(0, m_failures);
         return std::move(answered->answer);
     }
 
@@ -147,6 +151,8 @@
 
 private:
     asio::io_context m_loop;
+    int m_failures = 0; ///< handlers that ended with an exception
+    handler_guard m_guard;
     deadline_queue m_deadlines;
     outgoing_pool m_pool;
     outgoing_pool m_callers;
@@ -188,7 +194,8 @@
     exchange->answer(std::move(answer));
 }
 
-/// \returns a handler that turns the first request away and asks for a pause, then answers all.
+/// \returns a handler that turns the first request away and asks for a pause, then answers
+/// all.
 router_fixture::target_handler pauseFirst(const std::string &retryAfter)
 {
     return [retryAfter, paused = false](const std::shared_ptr<http_exchange> &exchange) mutable {
@@ -225,8 +232,8 @@
     CPPUNIT_TEST(requestThatWaitsForItsConnectionHasNotRun);
     CPPUNIT_TEST_SUITE_END();
 
-    // Guards against requests to a target that has announced its shutdown in an answer, while the
-    // registry still lists it as ready.
+    // Guards against requests to a target that has announced its shutdown in an answer,
+    // while the registry still lists it as ready.
     void answerOfDrainingTargetEndsNewWork()
     {
         router_fixture vm;
@@ -240,8 +247,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{10}, vm.arrivalCount("b"));
     }
 
-    // Guards against requests to an owner long after it has announced its shutdown in an answer,
-    // and against refusals of requests for its keys right after the announcement.
+    // Guards against requests to an owner long after it has announced its shutdown in an
+    // answer, and against refusals of requests for its keys right after the announcement.
     void drainingOwnerServesItsKeysForTheGracePeriod()
     {
         router_fixture vm;
@@ -253,7 +260,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, vm.arrivalCount("a"));
     }
 
-    // Guards against draining a restarted target because of an answer of its previous process.
+    // Guards against draining a restarted target because of an answer of its previous
+    // process.
     void answerOfPreviousIncarnationDrainsNothing()
     {
         router_fixture vm;
@@ -285,8 +293,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("b"));
     }
 
-    // Guards against requests before the end of a pause, and against a target that gets none after
-    // it.
+    // Guards against requests before the end of a pause, and against a target that gets
+    // none after it.
     void pauseEndsWithItsDeadline()
     {
         router_fixture vm;
@@ -318,8 +326,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.arrivalCount("b"));
     }
 
-    // Guards against requests to an owner that has asked for none, and against callers that wait
-    // for a pause that outlasts their time.
+    // Guards against requests to an owner that has asked for none, and against callers that
+    // wait for a pause that outlasts their time.
     void pausedOwnerGetsNothing()
     {
         router_fixture vm;
@@ -337,8 +345,8 @@
         CPPUNIT_ASSERT_EQUAL(200U, vm.request("keyed").result_int());
     }
 
-    // Guards against retries at an owner before the end of a short pause, and against refusals of
-    // requests that can be served after it.
+    // Guards against retries at an owner before the end of a short pause, and against
+    // refusals of requests that can be served after it.
     void requestWaitsForAShortPauseOfItsOwner()
     {
         router_fixture vm;
@@ -348,8 +356,8 @@
         CPPUNIT_ASSERT(vm.arrivals["a"][1] >= vm.arrivals["a"][0] + milliseconds(200));
     }
 
-    // Guards against requests to a draining owner during its grace period, although it has asked
-    // for none.
+    // Guards against requests to a draining owner during its grace period, although it has
+    // asked for none.
     void pausedOwnerGetsNothingWhileItDrains()
     {
         router_fixture vm;
@@ -362,8 +370,8 @@
     }
 
     // Guards against a target that gets no requests because of a malformed Retry-After.
-    // Guards against requests that come late in a planned stop, and are cut off at its end while
-    // their target works on them. Those that end in time are still served.
+    // Guards against requests that come late in a planned stop, and are cut off at its end
+    // while their target works on them. Those that end in time are still served.
     void requestThatOutlivesTheGracePeriodIsRefused()
     {
         router_fixture f;
@@ -378,7 +386,8 @@
                              f.request("plain", "GET", "Remaining-Ms: 1000\r\n").result_int());
     }
 
-    // Guards against a 504, which promises nothing, for a request of which no byte was sent.
+    // Guards against a 504, which promises nothing, for a request of which no byte was
+    // sent.
     void requestThatWaitsForItsConnectionHasNotRun()
     {
         router_fixture f;
--- a/tools/node/main.cpp
+++ b/tools/node/main.cpp
@@ -24,13 +24,13 @@
 int run(const damaskward::vm_environment &environment)
 {
     boost::asio::io_context loop(1);
-    const damaskward::node vm(loop, environment, damaskward::platform::requestIdField,
-                              [&environment](damaskward::outgoing_pool &pool) {
-                                  return damaskward::platform::makePort(
-                                      std::make_shared<damaskward::platform::store_client>(
-                                          pool, environment.storeAddress));
-                              });
-    loop.run();
+    damaskward::node vm(loop, environment, damaskward::platform::requestIdField,
+                        [&environment](damaskward::outgoing_pool &pool) {
+                            return damaskward::platform::makePort(
+                                std::make_shared<damaskward::platform::store_client>(
+                                    pool, environment.storeAddress));
+                        });
+    vm.run();
     return 0;
 }
 
