Set registry entries aside whose service the configuration does not name

Cause: the decoder accepts any service, and each later reader took such an entry for a target. The coordinator logs "target terminated" for it.

target_pool is the one gate: for complete versions, for single changes that other VMs pass on, and in both directions when a configuration changes its services. The store reader also passes on only what its gate admits.

--- a/src/Fleet/target_pool.cpp
+++ b/src/Fleet/target_pool.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace damaskward {
 namespace {
@@ -57,12 +58,37 @@
     return result;
 }
 
-void target_pool::setDeployment(const deployment &config)
+void target_pool::setDeployment(const deployment &config, time_point now)
 {
+    m_hasDeployment = true;
     m_warmup.clear();
     for (const auto &[name, settings] : config.services) {
         m_warmup[name] = settings.warmup;
     }
+    for (const auto &[name, t] : m_targets) {
+        if (t.isRegistered && !namesServiceOf(t.record)) {
+            setAside(t.record, now);
+        }
+    }
+    const auto records = std::exchange(m_setAside, {});
+    for (const auto &[name, record] : records) {
+        applyRecord(record, now);
+    }
+}
+
+/// Keeps a record that does not name a service of the configuration, in case a later one does.
+void target_pool::setAside(const target_record &record, time_point now)
+{
+    m_setAside[record.name] = record;
+    if (target_state *known = find(record.name)) {
+        unregister(*known, now);
+    }
+}
+
+void target_pool::unregister(target_state &t, time_point now)
+{
+    t.isRegistered = false;
+    updateDrainingSince(t, now);
 }
 
 milliseconds target_pool::warmupOf(const service_id &service) const
@@ -112,8 +138,11 @@
 void target_pool::applyRegistry(const std::vector<target_record> &records, time_point now)
 {
     std::set<std::string_view> seen;
+    m_setAside.clear();
     for (const target_record &record : records) {
-        seen.insert(record.name);
+        if (namesServiceOf(record)) {
+            seen.insert(record.name);
+        }
         applyRecord(record, now);
     }
     for (auto it = m_targets.begin(); it != m_targets.end();) {
@@ -121,8 +150,7 @@
             ++it;
             continue;
         }
-        it->second.isRegistered = false;
-        updateDrainingSince(it->second, now);
+        unregister(it->second, now);
         // An unregistered target is kept for a while, because it may still answer.
         constexpr milliseconds retention{15000};
         if (!it->second.isRegistered && it->second.inFlight == 0
@@ -135,10 +163,20 @@
     for (auto &[name, t] : m_targets) {
         updateDrainingSince(t, now);
     }
-    m_isFirstRegistry = m_isFirstRegistry && records.empty();
+    m_isFirstRegistry = m_isFirstRegistry && seen.empty();
 }
 
 void target_pool::applyRecord(const target_record &record, time_point now)
+{
+    if (namesServiceOf(record)) {
+        m_setAside.erase(record.name);
+        applyTargetRecord(record, now);
+    } else {
+        setAside(record, now);
+    }
+}
+
+void target_pool::applyTargetRecord(const target_record &record, time_point now)
 {
     target_state *known = find(record.name);
     if (!known || known->record.incarnation < record.incarnation) {
@@ -170,13 +208,13 @@
 
 void target_pool::remove(const removed_target &target, time_point now)
 {
+    m_setAside.erase(target.name);
     if (target_state *known = find(target.name)) {
         if (known->record.incarnation == target.incarnation) {
             known->record.heartbeatCounter =
                 std::max(known->record.heartbeatCounter, target.heartbeatCounter);
         }
-        known->isRegistered = false;
-        updateDrainingSince(*known, now);
+        unregister(*known, now);
     }
 }
 
--- a/src/Fleet/target_pool.h
+++ b/src/Fleet/target_pool.h
@@ -83,6 +83,10 @@
 /// \brief The targets in the registry, their state, and the choice among them. Without I/O; not
 /// thread-safe.
 ///
+/// Other programs may write to the registry. A record whose service the configuration does not name
+/// is not that of a target: it is set aside until a configuration names its service, and all else
+/// proceeds as if the registry did not contain it.
+///
 /// \code
 /// targets.applyRegistry(records, now);
 /// if (target_state *t = targets.choose(service, {}, false, false, now))
@@ -96,8 +100,14 @@
         : m_localDataCenter(std::move(local))
     { }
 
-    /// Applies a configuration.
-    void setDeployment(const deployment &config);
+    /// Applies a configuration. Targets whose service it does not name count as unregistered, and
+    /// records that were set aside are applied if it names theirs.
+    void setDeployment(const deployment &config, time_point now);
+    /// \returns whether the configuration names the service of \a record, or there is none yet.
+    bool namesServiceOf(const target_record &record) const
+    {
+        return !m_hasDeployment || m_warmup.count(record.service) != 0;
+    }
     /// Sets the data centres that operators have drained. The targets of one that is no longer
     /// drained count as warming up.
     /// \param drained all drained data centres
@@ -209,13 +219,18 @@
     };
 
     double estimatedLoad(const target_state &t, time_point now) const;
+    void applyTargetRecord(const target_record &record, time_point now);
+    void setAside(const target_record &record, time_point now);
+    void unregister(target_state &t, time_point now);
     void insert(const target_record &record, time_point now);
     void updateDrainingSince(target_state &t, time_point now) const;
     milliseconds warmupOf(const service_id &service) const;
 
     data_center_id m_localDataCenter;
     std::map<std::string, target_state, std::less<>> m_targets;
-    std::map<service_id, milliseconds> m_warmup;
+    std::map<std::string, target_record> m_setAside; ///< records that name no known service
+    std::map<service_id, milliseconds> m_warmup; ///< by service of the configuration
+    bool m_hasDeployment = false;
     std::map<std::pair<data_center_id, service_id>, remote_load> m_remoteLoads;
     std::map<data_center_id, center_reachability> m_reachability;
     std::set<data_center_id> m_drainedDataCenters;
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -885,7 +885,8 @@
     logReload(*config);
     m_configText = text;
     m_router.setDeployment(config);
-    m_targets.setDeployment(*config);
+    m_targets.setDeployment(*config, mono_clock::now());
+    m_targetsRequestedAt = time_point{}; // Entries that were skipped may name one of its services.
     m_coordinatorRole.setDeployment(*config);
 }
 
@@ -966,7 +967,8 @@
     for (const table_row &row : rows.rows) {
         std::optional<target_record> record;
         m_guard.run("target row", [&] { record = m_platform.decodeTarget(row); });
-        if (record) {
+        // Other VMs need no records that name no target.
+        if (record && m_targets.namesServiceOf(*record)) {
             records.push_back(std::move(*record));
         } else {
             m_log.write(log_line("row skipped").add("row", row.name));
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -221,7 +221,7 @@
         target_pool targets(data_center_id("near"));
         deployment config;
         config.services[service_id("ledger")].warmup = seconds(3);
-        targets.setDeployment(config);
+        targets.setDeployment(config, start);
         targets.applyRegistry({record("a")}, start);
         targets.recordConnectionRefused(*targets.find("a"), start);
         CPPUNIT_ASSERT(!targets.isUsable(*targets.find("a"), start));
@@ -237,7 +237,7 @@
         target_pool targets(data_center_id("near"));
         deployment config;
         config.services[service_id("ledger")].warmup = seconds(3);
-        targets.setDeployment(config);
+        targets.setDeployment(config, start);
         targets.applyRegistry({record("a")}, start);
         targets.setDrainedDataCenters({data_center_id("near")}, start);
         CPPUNIT_ASSERT(!targets.isUsable(*targets.find("a"), start));
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -84,7 +84,7 @@
             config->services[service_id(name)].keyed = r.name == "keyed";
         }
         config->indexRoutes();
-        targets.setDeployment(*config);
+        targets.setDeployment(*config, mono_clock::now());
         router.setDeployment(config);
         router.setRetryLimits(1.0, 100.0);
     }
