Give messages between VMs the same limits at the sender and the receiver

Cause: the receivers' decoder refuses texts above 4,096 bytes, the encoder had no limit. The store reader passed the name on, and one such text made each change and each complete version of the registry undecodable.

Both sides now use message_limits, whose limit on texts exceeds a row of the store, so that also a valid configuration's long names pass: of services in digests, demand and owners, and of teams in token requests, which had the same fault. A message above the limits is not sent but counted and logged.

hugeListsAreRejected keeps its check of the decoder with a message made by hand, as the encoder no longer makes one.

--- a/src/Node/message_fields.h
+++ b/src/Node/message_fields.h
@@ -20,7 +20,16 @@
 
 namespace damaskward {
 
-/// A message that cannot be decoded.
+/// Limits of a message. The writer produces none that the reader would refuse.
+struct message_limits
+{
+    static constexpr std::size_t maxItems = 16384; ///< of one list or map
+    /// Longer than any row of the store, and so than any name in a row.
+    static constexpr std::size_t maxTextBytes = 131072;
+    static constexpr std::size_t maxDepth = 10; ///< of nested lists and maps
+};
+
+/// A message that cannot be decoded, or that exceeds the limits.
 class field_error : public std::runtime_error
 {
 public:
@@ -28,7 +37,8 @@
 };
 
 /// \class field_writer
-/// \brief Writes values in the order in which describe() names them.
+/// \brief Writes values in the order in which describe() names them. Texts and lists beyond
+/// message_limits throw field_error.
 ///
 /// \code
 /// template <typename Archive>
@@ -59,16 +69,17 @@
             describe(*this, value);
         }
     }
-    void write(std::string &text) { m_packer.pack(text); }
+    void write(std::string &text) { writeText(text); }
     void write(milliseconds &span) { m_packer.pack(static_cast<std::int64_t>(span.count())); }
     template <typename Tag>
     void write(strong_id<Tag> &id)
     {
-        m_packer.pack(id.str());
+        writeText(id.str());
     }
     template <typename Value>
     void write(std::vector<Value> &list)
     {
+        checkItems(list.size());
         m_packer.pack_array(static_cast<std::uint32_t>(list.size()));
         for (Value &value : list) {
             write(value);
@@ -77,6 +88,7 @@
     template <typename Key, typename Value>
     void write(std::map<Key, Value> &map)
     {
+        checkItems(map.size());
         m_packer.pack_map(static_cast<std::uint32_t>(map.size()));
         for (auto &[key, value] : map) {
             Key copy = key;
@@ -86,6 +98,21 @@
     }
 
 private:
+    void writeText(const std::string &text)
+    {
+        if (text.size() > message_limits::maxTextBytes) {
+            throw field_error("text above the limit");
+        }
+        m_packer.pack(text);
+    }
+
+    static void checkItems(std::size_t count)
+    {
+        if (count > message_limits::maxItems) {
+            throw field_error("items above the limit");
+        }
+    }
+
     msgpack::packer<msgpack::sbuffer> &m_packer;
 };
 
@@ -174,6 +201,7 @@
 };
 
 /// \returns \a message encoded after the letter \a type.
+/// \throws field_error if it exceeds message_limits
 template <typename Message>
 std::string encodeFields(char type, const Message &message)
 {
@@ -204,10 +232,9 @@
     ///         on the lengths of its parts
     explicit encoded_fields(std::string_view bytes)
     {
-        constexpr std::size_t maxItems = 16384; // Of one list or map.
-        constexpr std::size_t maxTextBytes = 4096;
-        constexpr std::size_t maxDepth = 10;
-        const msgpack::unpack_limit limit(maxItems, maxItems, maxTextBytes, 0, 0, maxDepth);
+        const msgpack::unpack_limit limit(message_limits::maxItems, message_limits::maxItems,
+                                          message_limits::maxTextBytes, 0, 0,
+                                          message_limits::maxDepth);
         std::size_t end = 0;
         try {
             msgpack::unpack(
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -278,6 +278,10 @@
         m_log.write(log_line("malformed message").add("count", malformed - m_loggedMalformed));
         m_loggedMalformed = malformed;
     }
+    if (const std::uint64_t unsent = m_socket.counts().unsentCount; unsent > m_loggedUnsent) {
+        m_log.write(log_line("message above the limits").add("count", unsent - m_loggedUnsent));
+        m_loggedUnsent = unsent;
+    }
     m_log.flush();
 }
 
@@ -1111,6 +1115,7 @@
     m_metrics.gauge("peer_bytes_received", static_cast<double>(peers.receivedBytes));
     m_metrics.gauge("peer_messages_sent", static_cast<double>(peers.sentCount));
     m_metrics.gauge("peer_messages_received", static_cast<double>(peers.receivedCount));
+    m_metrics.gauge("peer_messages_unsent", static_cast<double>(peers.unsentCount));
     m_metrics.gauge("peer_messages_malformed", static_cast<double>(peers.malformedCount));
 }
 
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -165,6 +165,7 @@
     std::string m_encodedOwners; ///< of m_owners, empty until needed
     int m_heartbeatCount = 0;
     std::uint64_t m_loggedMalformed = 0; ///< messages of peers, as far as logged
+    std::uint64_t m_loggedUnsent = 0; ///< messages to peers above the limits, as far as logged
     time_point m_tokenRetryAt{}; ///< when unanswered token requests are sent again
     time_point m_storeAnsweredAt{}; ///< last success of this VM or of its store reader
     /// Until then, records may be missing from the store, which was away or restored.
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -305,7 +305,11 @@
 
 std::string encodeMessage(const peer_message &message)
 {
-    return std::visit(encode_visitor{}, message);
+    try {
+        return std::visit(encode_visitor{}, message);
+    } catch (const field_error &) {
+        return {}; // The sender counts and logs it.
+    }
 }
 
 std::optional<peer_message> decodeMessage(std::string_view datagram)
--- a/src/Node/peer_message.h
+++ b/src/Node/peer_message.h
@@ -60,7 +60,8 @@
                                   peer_token_request, limit_token_response, registry_delta,
                                   member_update, roster_ack, owner_shares, warmup_notice>;
 
-/// \returns \a message encoded as a datagram.
+/// \returns \a message encoded as a datagram, or an empty text if no receiver would decode it, as a
+/// part of it exceeds the limits.
 std::string encodeMessage(const peer_message &message);
 
 /// \returns the message, or nothing if the datagram is malformed.
--- a/src/Node/peer_socket.cpp
+++ b/src/Node/peer_socket.cpp
@@ -17,6 +17,10 @@
 
 void peer_socket::sendBytes(const std::string &ip, const std::string &bytes)
 {
+    if (bytes.empty()) {
+        ++m_counts.unsentCount; // The node logs the count.
+        return;
+    }
     error_code error;
     const auto address = boost::asio::ip::make_address(ip, error);
     if (error) {
--- a/src/Node/peer_socket.h
+++ b/src/Node/peer_socket.h
@@ -39,7 +39,8 @@
     {
         sendBytes(ip, encodeMessage(message));
     }
-    /// Sends an encoded message. Saves encoding a message again for each recipient.
+    /// Sends an encoded message, unless it is empty. Saves encoding a message again for each
+    /// recipient.
     void sendBytes(const std::string &ip, const std::string &bytes);
 
     /// What has passed through the socket since construction.
@@ -50,6 +51,7 @@
         std::uint64_t receivedCount = 0;
         std::uint64_t receivedBytes = 0;
         std::uint64_t malformedCount = 0; ///< of those received, dropped
+        std::uint64_t unsentCount = 0; ///< not sent, because they exceed the limits
     };
     const traffic &counts() const { return m_counts; }
 
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -709,6 +709,7 @@
             shares.shares[std::to_string(i)] = 0.5;
         }
         CPPUNIT_ASSERT(!decodeMessage(encodeMessage(shares)));
+        CPPUNIT_ASSERT(!decodeMessage(message + "\xdc\x4e\x20" + std::string(20000, '\xc0')));
     }
 
     // Ages and incarnations at the limits of their types must not move a VM into the future.
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -42,6 +42,9 @@
     CPPUNIT_TEST(overwrittenEntryUnregistersItsTarget);
     CPPUNIT_TEST(entryThatWasSetAsideCanBeRemoved);
     CPPUNIT_TEST(reusedAddressMeansTermination);
+    CPPUNIT_TEST(longNamesReachOtherVms);
+    CPPUNIT_TEST(messagesAboveTheLimitsAreNotEncoded);
+    CPPUNIT_TEST(entriesWithLongKeysAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against two owners: an entry of an unknown service, with the address of an owner that
@@ -129,6 +132,58 @@
         targets.applyRegistry({next}, start);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, targets.newestIncarnations().at("10.0.0.1:80"));
     }
+
+    // Guards against VMs that stop following the registry: the store reader passed on a name of
+    // 5,000 bytes, and the others refused each message with it.
+    void longNamesReachOtherVms()
+    {
+        const std::string name(60000, 'n'); // Almost a row of the store.
+        registry_delta delta;
+        delta.changed.push_back(record("t0", name));
+        member_update update;
+        update.centers.push_back({"near", 0, {{name, 1.0}}});
+        key_demand demand;
+        demand.keys[service_id(name)].push_back(7);
+        owner_update owners;
+        owners.version = 1;
+        owners.rangeMaps[service_id(name)] = {};
+        peer_token_request tokens;
+        tokens.request.limit = "team/" + name;
+        limit_token_response response;
+        response.limit = "team/" + name;
+        const std::vector<peer_message> messages = {delta,  update, demand,
+                                                    owners, tokens, response};
+        for (const peer_message &message : messages) {
+            const auto decoded = decodeMessage(encodeMessage(message));
+            CPPUNIT_ASSERT(decoded && decoded->index() == message.index());
+        }
+    }
+
+    // What a receiver would refuse is the sender's fault, and is not sent.
+    void messagesAboveTheLimitsAreNotEncoded()
+    {
+        CPPUNIT_ASSERT(encodeMessage(owner_query{std::string(200000, 'n')}).empty());
+        registry_delta delta;
+        delta.changed.resize(20000);
+        CPPUNIT_ASSERT(encodeMessage(delta).empty());
+        owner_shares shares;
+        shares.shares[std::string(200000, 'n')] = 0.5;
+        CPPUNIT_ASSERT(encodeMessage(shares).empty());
+    }
+
+    void entriesWithLongKeysAreRejected()
+    {
+        const auto isAccepted = [](std::size_t nameBytes, std::size_t zoneBytes) {
+            const std::string text = R"({"address":"10.0.0.1:80","born":1,"info":{"service":"s",)"
+                                     R"("slots":1,"zone":")"
+                + std::string(zoneBytes, 'z') + R"("},"status":{"state":"ready","sequence":1}})";
+            return std::holds_alternative<target_record>(
+                platform::decodeTarget(std::string(nameBytes, 'n'), text));
+        };
+        CPPUNIT_ASSERT(isAccepted(200, 200));
+        CPPUNIT_ASSERT(!isAccepted(201, 200));
+        CPPUNIT_ASSERT(!isAccepted(200, 201));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(registry_test, "registry");
