Let the memory of incomplete answers follow the VM's memory

Another operator reported that a target's bytes without end filled the memory of a VM, whose end cut off the requests of all its callers.

Cause: memoryMb of the settings was decoded and not used. Besides, the buffer of an idle connection counted as an incomplete answer.

The limit is now a quarter of the VM's memory, at most 64 MB as before, which leaves room for an answer that is held twice while it grows.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -96,7 +96,7 @@
     , m_log(m_environment.name.str())
     , m_guard([this](std::string_view part, std::string_view error) { reportFailure(part, error); })
     , m_deadlines(loop, m_guard)
-    , m_pool(loop, m_deadlines, m_guard, requestIdField)
+    , m_pool(loop, m_deadlines, m_guard, requestIdField, maxHeldBytes(m_environment.memoryBytes))
     , m_platform(makePort(m_pool))
     , m_targets(m_environment.dataCenter)
     , m_warmupProbe(m_targets)
@@ -169,6 +169,13 @@
     logTick();
 }
 
+std::size_t node::maxHeldBytes(std::size_t memoryBytes)
+{
+    constexpr std::size_t heldShare = 4; // A quarter; an answer that grows is held twice at times.
+    return memoryBytes == 0 ? outgoing_pool::defaultMaxHeldBytes
+                            : std::min(outgoing_pool::defaultMaxHeldBytes, memoryBytes / heldShare);
+}
+
 void node::run()
 {
     while (!m_guard.run("event loop", [this] { m_loop.run(); })) { }
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -56,6 +56,10 @@
     /// is reported, and the loop continues.
     void run();
 
+    /// \returns the limit on the memory of incomplete answers, in bytes, on a VM with
+    /// \a memoryBytes, 0 if unknown.
+    static std::size_t maxHeldBytes(std::size_t memoryBytes);
+
 private:
     void start();
     void heartbeatTick();
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -27,8 +27,6 @@
 /// Larger than any answer of the platform's tables or of a target.
 constexpr std::uint64_t maxAnswerBytes = 16U << 20U;
 constexpr std::uint32_t maxAnswerHeaderBytes = 65536;
-/// Memory of all incomplete answers together, a quarter of a VM's usual memory.
-constexpr std::size_t maxHeldBytes = 64U << 20U;
 /// Interim and stray answers skipped per call: a few times what a faulty peer repeats.
 constexpr int maxSkippedAnswers = 16;
 /// A reachable peer accepts a connection within a few round trips.
@@ -265,8 +263,10 @@
             handleReadError(error);
             return;
         }
-        // A string reserves up to twice its size.
-        setHeldBytes(m_buffer.capacity() + (m_parser ? m_parser->get().body().capacity() : 0));
+        // A string reserves up to twice its size. An idle connection holds no answer.
+        setHeldBytes(!m_callback ? 0
+                                 : m_buffer.capacity()
+                             + (m_parser ? m_parser->get().body().capacity() : 0));
         m_pool.limitHeldBytes();
         if (!m_isClosed) {
             read();
@@ -431,11 +431,13 @@
 }
 
 outgoing_pool::outgoing_pool(boost::asio::io_context &loop, deadline_queue &deadlines,
-                             const handler_guard &guard, std::string idField)
+                             const handler_guard &guard, std::string idField,
+                             std::size_t maxHeldBytes)
     : m_loop(loop)
     , m_deadlines(deadlines)
     , m_guard(guard)
     , m_idField(std::move(idField))
+    , m_maxHeldBytes(maxHeldBytes)
 { }
 
 outgoing_pool::~outgoing_pool() = default;
@@ -474,7 +476,7 @@
 /// Ends the largest incomplete answer if all together hold too much memory.
 void outgoing_pool::limitHeldBytes()
 {
-    if (m_heldBytes <= maxHeldBytes) {
+    if (m_heldBytes <= m_maxHeldBytes) {
         return;
     }
     const auto largest =
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -101,10 +101,15 @@
 public:
     using callback = std::function<void(call_result &&)>;
 
+    static constexpr std::size_t defaultMaxHeldBytes = 64U << 20U;
+
     /// \param guard runs the handlers; a connection whose handler fails is closed
     /// \param idField the header field that carries a call's id in its answer
+    /// \param maxHeldBytes limit on the memory of all incomplete answers together; above it, the
+    /// largest one is cut off
     outgoing_pool(boost::asio::io_context &loop, deadline_queue &deadlines,
-                  const handler_guard &guard, std::string idField);
+                  const handler_guard &guard, std::string idField,
+                  std::size_t maxHeldBytes = defaultMaxHeldBytes);
     ~outgoing_pool();
 
     /// Sends \a call. \a done is called once, never from within this function.
@@ -115,6 +120,8 @@
 
     /// \returns the number of connections opened since construction.
     std::uint64_t openedCount() const { return m_opened; }
+    /// \returns the memory of all incomplete answers, in bytes.
+    std::size_t heldBytes() const { return m_heldBytes; }
 
 private:
     friend class internal::outgoing_connection;
@@ -131,6 +138,7 @@
     std::map<std::string, std::vector<connection_ptr>, std::less<>> m_idle;
     std::set<internal::outgoing_connection *> m_receiving; ///< those with an incomplete answer
     std::size_t m_heldBytes = 0; ///< of all incomplete answers
+    std::size_t m_maxHeldBytes;
     std::uint64_t m_lastCallId = 0;
     std::uint64_t m_opened = 0;
 };
--- a/test/isolation_test.cpp
+++ b/test/isolation_test.cpp
@@ -228,10 +228,12 @@
         while (received < 2) {
             std::this_thread::yield();
         }
+        std::uint64_t malformedCount = 0;
         loop.call([&] {
-            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, socket->counts().malformedCount);
+            malformedCount = socket->counts().malformedCount;
             socket.reset();
         });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, malformedCount);
         CPPUNIT_ASSERT_EQUAL(1, loop.failures.load());
     }
 
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -2,6 +2,7 @@
 // (outgoing_pool).
 
 #include "platform/store_client.h"
+#include "src/Node/node.h"
 #include "support/transport_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -47,6 +48,8 @@
     CPPUNIT_TEST(endlessInterimAnswersAreInvalid);
     CPPUNIT_TEST(endlessStrayAnswersAreInvalid);
     CPPUNIT_TEST(endlessBodiesTogetherStayBounded);
+    CPPUNIT_TEST(endlessAnswersFitASmallVm);
+    CPPUNIT_TEST(idleConnectionsHoldNoAnswer);
     CPPUNIT_TEST(callersEndlessChunkHeaderTimesOut);
     CPPUNIT_TEST(callPastItsDeadlineIsNotSent);
     CPPUNIT_TEST_SUITE_END();
@@ -561,22 +564,75 @@
 
     /// Many targets that send bodies without end must not use up the memory of the VM.
     void endlessBodiesTogetherStayBounded()
+    {
+        constexpr int calls = 30;
+        constexpr std::size_t maxGrowth = 160; // The process may use 260 MB.
+        callEndlessAnswers(calls, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+                           outgoing_pool::defaultMaxHeldBytes, maxGrowth);
+    }
+
+    // Guards against a small VM that is killed for its memory, with the requests of all callers, by
+    // targets that send bytes without end.
+    void endlessAnswersFitASmallVm()
+    {
+        constexpr std::size_t vmBytes = 160U << 20U;
+        constexpr int calls = 128;
+        constexpr std::size_t maxGrowth = 120; // The rest of the VM's memory is for all else.
+        for (const char *begin :
+             {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nX: ",
+              "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n"}) {
+            callEndlessAnswers(calls, begin, node::maxHeldBytes(vmBytes), maxGrowth);
+        }
+    }
+
+    // Guards against idle connections that count as incomplete answers: many of them would end the
+    // answers that are being received.
+    void idleConnectionsHoldNoAnswer()
+    {
+        scripted_target target({okAnswer("1", "a")}, false);
+        loop_thread loop;
+        std::unique_ptr<outgoing_pool> pool;
+        std::atomic<bool> done{false};
+        loop.call([&] {
+            pool = std::make_unique<outgoing_pool>(loop.loop, loop.deadlines, loop.guard, "Id");
+            outgoing_call call;
+            call.connectionKey = "t";
+            call.address = target.address();
+            call.head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            call.deadline = mono_clock::now() + seconds(5);
+            pool->send(std::move(call), [&](call_result &&) { done = true; });
+        });
+        while (!done) {
+            std::this_thread::yield();
+        }
+        std::size_t heldBytes = 0;
+        loop.call([&] {
+            heldBytes = pool->heldBytes();
+            pool->closeIdleTo("t");
+            pool.reset();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, heldBytes);
+    }
+
+    /// Makes \a calls calls at once, whose answers go on without end after \a begin, and checks
+    /// that each is invalid. \param maxGrowth limit on the growth of this process, in MiB
+    static void callEndlessAnswers(int calls, const std::string &begin, std::size_t maxHeldBytes,
+                                   std::size_t maxGrowth)
     {
         scripted_target target(
             [&](int, int) {
-                return scripted_target::answer{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
-                                               std::string(100000, 'x')};
+                return scripted_target::answer{begin, std::string(100000, 'x')};
             },
             false);
         loop_thread loop;
         std::unique_ptr<outgoing_pool> pool;
-        constexpr int calls = 30;
         std::atomic<int> failed{0};
         std::atomic<int> invalid{0};
         const std::size_t before = residentMegabytes();
         std::size_t highest = before;
         loop.call([&] {
-            pool = std::make_unique<outgoing_pool>(loop.loop, loop.deadlines, loop.guard, "Id");
+            pool = std::make_unique<outgoing_pool>(loop.loop, loop.deadlines, loop.guard, "Id",
+                                                   maxHeldBytes);
             for (int i = 0; i < calls; ++i) {
                 outgoing_call call;
                 call.connectionKey = "t";
@@ -596,7 +652,6 @@
         }
         loop.call([&] { pool.reset(); });
         CPPUNIT_ASSERT_EQUAL(calls, invalid.load());
-        constexpr std::size_t maxGrowth = 160; // The process may use 260 MB.
         CPPUNIT_ASSERT_MESSAGE(std::to_string(highest - before), highest < before + maxGrowth);
     }
 
