Answer in a planned stop what has been received

Causes, each shown against the listener: the next answer of a stopping VM closed its connection although requests pipelined behind it were at targets; after 2.3 s, connections were closed whose request the event loop had not yet read, or whose first request was on its way; closing the listening socket reset the connections not yet accepted; and the header timeout of a refused request cut off the one before it. Which of these the recorded request met is not shown; the first fits its times.

A connection now ends with the answer to the last request that was parsed, is closed only when nothing of a request has been received, and established connections are accepted before the listening socket is closed. What has been read is answered, what has not is left unbegun, so neither is cut off.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -43,6 +43,9 @@
 /// readiness checks to notice it.
 constexpr milliseconds shutdownAcceptTime{2300};
 constexpr milliseconds shutdownMargin{500};
+/// A VM that is shutting down closes a connection that has been idle for this long. The first
+/// request of a new connection follows within it.
+constexpr milliseconds shutdownIdleTime{200};
 /// Targets answer a release only when the running work on the keys has ended.
 constexpr milliseconds releaseTimeout{1500};
 /// VMs with at least this share of a CPU core are preferred for roles that serve the whole fleet.
@@ -1132,6 +1135,7 @@
         return;
     }
     m_shuttingDown = true;
+    m_shutdownStepAt = mono_clock::now() + shutdownAcceptTime;
     scheduleAfter(shutdownAcceptTime, [this] { continueShutdown(); });
     m_log.write(log_line("stop").add("underWay", m_router.inFlightCount()));
     m_shutdownDeadline = mono_clock::now() + m_environment.bounds.gracePeriod - shutdownMargin;
@@ -1147,8 +1151,15 @@
     // accepted until the deadline, the last requests would be aborted.
     scheduleAfter(heartbeatInterval, [this] { continueShutdown(); });
     m_callerListener.stopAccepting();
-    m_callerListener.closeIdle();
     const time_point now = mono_clock::now();
+    if (const std::size_t closed = m_callerListener.closeIdle(now - shutdownIdleTime); closed > 0) {
+        m_log.write(log_line("idle connections closed")
+                        .add("count", closed)
+                        .add("left", m_callerListener.connectionCount())
+                        .add("underWay", m_router.inFlightCount())
+                        .add("lateMs", toMillis(now - m_shutdownStepAt)));
+    }
+    m_shutdownStepAt = now + heartbeatInterval;
     if ((m_router.inFlightCount() == 0 && m_callerListener.connectionCount() == 0)
         || now >= m_shutdownDeadline) {
         m_log.write(log_line("stopped").add("underWay", m_router.inFlightCount()));
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -182,6 +182,7 @@
     milliseconds m_storeBackoff{0}; ///< set by the last failed read, else 0
     bool m_shuttingDown = false;
     time_point m_shutdownDeadline{};
+    time_point m_shutdownStepAt{}; ///< when continueShutdown() is due
 };
 
 } // namespace damaskward
--- a/src/Proxy/http_listener.cpp
+++ b/src/Proxy/http_listener.cpp
@@ -92,6 +92,7 @@
 
     void start()
     {
+        m_idleSince = mono_clock::now();
         startIdleTimeout();
         read();
     }
@@ -105,7 +106,15 @@
         runGuarded([this] { writeAnswer(); });
     }
 
-    bool isIdle() const { return m_pending.empty() && !m_parser && m_buffer.size() == 0; }
+    /// \returns whether no request is in flight or on its way here, as far as can be known: nothing
+    /// of one has been received, also not by the kernel, and the connection has been idle since
+    /// \a since. A connection that lingers closes by itself once its caller has the last answer.
+    bool isIdleSince(time_point since)
+    {
+        error_code ignored; // A broken connection has no input.
+        return m_pending.empty() && !m_isLingering && !m_parser && m_buffer.size() == 0
+            && m_idleSince <= since && m_socket.available(ignored) == 0;
+    }
 
     void close()
     {
@@ -260,12 +269,11 @@
         m_parser.reset();
         m_listener.m_deadlines.remove(m_deadline);
         m_pending.push_back(exchange);
-        if (!exchange->m_request.keep_alive()) {
-            m_isParsingStopped = true;
+        const bool isMalformed = exchange->m_request.count(http::field::host) != 1;
+        if (isMalformed || !exchange->m_request.keep_alive() || m_listener.isDraining()) {
+            stopParsing(); // Before answer(), so that the answer closes the connection.
         }
-        if (exchange->m_request.count(http::field::host) != 1) {
-            // Set before answer(), so that the answer closes the connection.
-            m_isParsingStopped = true;
+        if (isMalformed) {
             exchange->answer(plainAnswer(400));
             return;
         }
@@ -283,10 +291,19 @@
         rejectAndClose(status);
     }
 
-    void rejectAndClose(unsigned status)
+    /// Parses no further requests. The answer to the last one that was parsed closes the
+    /// connection; the caller sends those behind it again.
+    void stopParsing()
     {
         m_isParsingStopped = true;
         m_parser.reset();
+        // A timeout of a partial request must not cut off the requests before it.
+        m_listener.m_deadlines.remove(m_deadline);
+    }
+
+    void rejectAndClose(unsigned status)
+    {
+        stopParsing();
         auto exchange =
             std::make_shared<http_exchange>(weak_from_this(), http_request(), mono_clock::now());
         m_pending.push_back(exchange);
@@ -304,8 +321,11 @@
         if (answer.result() != http::status::no_content) {
             answer.set(http::field::content_length, std::to_string(answer.body().size()));
         }
-        m_closeAfterWrite = m_closeAfterWrite || m_listener.isDraining()
-            || !exchange.m_request.keep_alive() || (m_isParsingStopped && m_pending.size() == 1);
+        if (m_listener.isDraining() && !m_isParsingStopped) {
+            stopParsing();
+        }
+        // Requests behind this one may be in progress at targets, so only the last answer closes.
+        m_closeAfterWrite = m_isParsingStopped && m_pending.size() == 1;
         if (m_closeAfterWrite) {
             answer.set(http::field::connection, "close");
         }
@@ -341,6 +361,7 @@
             runForRequest(*exchange, action);
         }
         if (m_pending.empty()) {
+            m_idleSince = mono_clock::now();
             startIdleTimeout();
         }
         parseInput();
@@ -394,6 +415,7 @@
     std::optional<request_parser> m_parser;
     std::deque<std::shared_ptr<http_exchange>> m_pending;
     std::string m_head;
+    time_point m_idleSince{}; ///< since when no request is in flight, if there is none
     deadline_queue::deadline_id m_deadline = 0;
     bool m_isReading = false;
     bool m_isWriting = false;
@@ -459,18 +481,30 @@
 
 void http_listener::stopAccepting()
 {
-    boost::system::error_code ignored; // The acceptor may be closed already.
-    m_acceptor.close(ignored);
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    // Closing the socket resets the connections that wait to be accepted, with their requests.
+    while (!error) {
+        tcp::socket socket(m_loop);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            addConnection(std::move(socket));
+        }
+    }
+    m_acceptor.close(error);
 }
 
-void http_listener::closeIdle()
+std::size_t http_listener::closeIdle(time_point since)
 {
+    std::size_t count = 0;
     const auto connections = m_connections;
     for (const auto &connection : connections) {
-        if (connection->isIdle()) {
+        if (connection->isIdleSince(since)) {
             connection->close();
+            ++count;
         }
     }
+    return count;
 }
 
 void http_listener::accept()
@@ -483,15 +517,19 @@
             m_deadlines.add(mono_clock::now() + acceptRetryDelay, [this] { accept(); });
             return;
         }
-        m_guard.run("accept", [&] {
-            setUpSocket(socket);
-            auto connection =
-                std::make_shared<internal::caller_connection>(*this, std::move(socket));
-            m_connections.insert(connection);
-            connection->start();
-        });
+        addConnection(std::move(socket));
         accept();
     });
 }
 
+void http_listener::addConnection(tcp::socket &&socket)
+{
+    m_guard.run("accept", [&] {
+        setUpSocket(socket);
+        auto connection = std::make_shared<internal::caller_connection>(*this, std::move(socket));
+        m_connections.insert(connection);
+        connection->start();
+    });
+}
+
 } // namespace damaskward
--- a/src/Proxy/http_listener.h
+++ b/src/Proxy/http_listener.h
@@ -88,19 +88,24 @@
                   handler serve);
     ~http_listener();
 
-    /// Makes every further answer close its connection.
+    /// Lets each connection end with the answer to its last request: those that have been parsed,
+    /// or one more. Requests behind it are not parsed, and their callers send them again.
     void drain() { m_isDraining = true; }
     bool isDraining() const { return m_isDraining; }
-    /// Stops accepting connections. Open connections remain in use.
+    /// Stops accepting connections, after those that the kernel has already established. Open
+    /// connections remain in use.
     void stopAccepting();
-    /// Closes the connections that have no request in flight.
-    void closeIdle();
+    /// Closes the connections that have been idle since \a since, with no request received, not
+    /// even by the kernel.
+    /// \returns their number
+    std::size_t closeIdle(time_point since);
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
     friend class internal::caller_connection;
 
     void accept();
+    void addConnection(boost::asio::ip::tcp::socket &&socket);
 
     boost::asio::io_context &m_loop;
     deadline_queue &m_deadlines;
--- a/test/support/transport_fixture.h
+++ b/test/support/transport_fixture.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <unistd.h>
@@ -78,6 +79,7 @@
 }
 
 /// Answers each request with its method, target and body. `/slow` is answered after 100 ms,
+/// `/wait/N` after N ms,
 /// `/never` never, and the handler of `/throw` throws.
 class echo_server
 {
@@ -142,9 +144,14 @@
         http_answer answer = plainAnswer(200);
         answer.body() = std::string(exchange->request().method_string()) + " " + target + " "
             + exchange->request().body();
-        if (target == "/slow") {
+        const std::string waitPrefix = "/wait/";
+        const int waitMillis = target == "/slow" ? 100
+            : target.compare(0, waitPrefix.size(), waitPrefix) == 0
+            ? std::atoi(target.c_str() + waitPrefix.size())
+            : 0;
+        if (waitMillis > 0) {
             m_loop.deadlines.add(
-                mono_clock::now() + milliseconds(100),
+                mono_clock::now() + milliseconds(waitMillis),
                 [exchange, answer]() mutable { exchange->answer(std::move(answer)); });
             return;
         }
