--- a/src/Node/peer_socket.h
+++ b/src/Node/peer_socket.h
@@ -20,8 +20,10 @@
 /// loop's thread.
 ///
 /// \code
-/// peer_socket socket(loop, guard, "10.1.0.37", 7560, [](peer_message &&m, const std::string &ip)
-/// {}); socket.send("10.1.0.38", message); \endcode
+/// const auto handle = [](peer_message &&message, const std::string &ip) {};
+/// peer_socket socket(loop, guard, "10.1.0.37", 7560, handle);
+/// socket.send("10.1.0.38", message);
+/// \endcode
 class peer_socket
 {
 public:
