Review case 6: slow readers lose answers that are ready

TCP_USER_TIMEOUT of 3 s on callers' sockets also limits how long a caller's receive window may stay closed, so callers that begin to read later are reset in the middle of their answers (LOST), also to uploads that may run only once.

--- a/review/standin-2/backend.cpp
+++ b/review/standin-2/backend.cpp
@@ -28,6 +28,13 @@
     return std::to_string(first) + '-' + std::to_string(last);
 }
 
+/// \returns the number behind \a mark in \a path, 0 if there is none.
+int numberAfter(const std::string &path, std::string_view mark)
+{
+    const std::size_t at = path.find(mark);
+    return at == std::string::npos ? 0 : std::atoi(path.c_str() + at + mark.size());
+}
+
 } // namespace
 
 backend::backend(std::string name, backend_options options, const std::string &address,
@@ -184,22 +191,6 @@
     return {m_runs.begin(), m_runs.end()};
 }
 
-std::vector<run> backend::runsUnderHold(const hold &range)
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    std::vector<run> result;
-    for (const run &r : m_runs) {
-        const bool isHeld =
-            std::any_of(m_seen.begin(), m_seen.end(), [&r, now = steady::now()](const hold &h) {
-                return h.contains(r.key) && now < h.expiresAt;
-            });
-        if (isHeld && range.contains(r.key)) {
-            result.push_back(r);
-        }
-    }
-    return result;
-}
-
 int backend::crashCount()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -222,18 +213,13 @@
             + std::to_string(m_options.slowdownPercent) + "\r\n";
         text += m_isLeaving ? "Server-Leaving: 1\r\n" : "";
     }
-    caller.lastAnswer = answerText(status, text, body);
-    caller.write(caller.lastAnswer);
+    caller.write(answerText(status, text, body));
 }
 
 void backend::handle(const http_message &request, connection &caller)
 {
     const std::string path = request.word(1);
     const std::string expected = request.field("expect-instance");
-    const bool isCommand = path == "/grant" || path == "/release";
-    if (isCommand && m_hooks.command) {
-        m_hooks.command(*this, request, caller);
-    }
     if (path == "/health") {
         std::unique_lock<std::mutex> lock(m_mutex);
         const std::string left = std::to_string(warmupLeft().count());
@@ -259,11 +245,14 @@
 
 milliseconds backend::workOf(const http_message &request)
 {
-    constexpr std::string_view mark = "/work-";
-    const std::string path = request.word(1);
-    const std::size_t at = path.find(mark);
-    return at == std::string::npos ? usualWork
-                                   : milliseconds(std::atoi(path.c_str() + at + mark.size()));
+    const int millis = numberAfter(request.word(1), "/work-");
+    return millis > 0 ? milliseconds(millis) : usualWork;
+}
+
+std::string backend::bodyOf(const http_message &request)
+{
+    const int bytes = numberAfter(request.word(1), "/bytes-");
+    return bytes > 0 ? std::string(static_cast<std::size_t>(bytes), 'x') : std::string("done");
 }
 
 /// Waits until the request is the first in the queue and a slot is free. The mutex is held.
@@ -339,7 +328,8 @@
     }
     m_record.write("server " + id + " has run " + what);
     lock.unlock();
-    answer(caller, good, echo + "Response-Stamp: " + id + '.' + requestId + "\r\n", "done");
+    answer(caller, good, echo + "Response-Stamp: " + id + '.' + requestId + "\r\n",
+           bodyOf(request));
 }
 
 void backend::serveGrant(const json &command, connection &caller)
@@ -375,9 +365,6 @@
             }
         }
     }
-    if (!isOutdated && m_hooks.granted) {
-        m_hooks.granted(*this, granted);
-    }
     answer(caller, isOutdated ? outdated : good, "");
 }
 
--- a/review/standin-2/backend.h
+++ b/review/standin-2/backend.h
@@ -45,7 +45,8 @@
 /// \class backend
 /// \brief One server at a fixed address. After a crash it starts again with another id.
 ///
-/// A request works for the milliseconds that its path states as `/work-N`, or for usualWork.
+/// A request works for the milliseconds that its path states as `/work-N`, or for usualWork. The
+/// body of its answer has the size that its path states as `/bytes-N`, or a few bytes.
 class backend
 {
 public:
@@ -62,12 +63,8 @@
     {
         /// \returns whether the server crashes as it begins to run \a request.
         std::function<bool(backend &self, const http_message &request)> crashes;
-        /// Called with a command before the server handles it.
-        std::function<void(backend &self, const http_message &command, connection &caller)> command;
         /// Called with each request that the server does not turn away.
         std::function<void(backend &self, const http_message &request)> arrived;
-        /// Called after a grant has been accepted.
-        std::function<void(backend &self, const hold &granted)> granted;
     };
 
     backend(std::string name, backend_options options, const std::string &address, store &registry,
@@ -87,9 +84,6 @@
     std::vector<hold> holds();
     /// \returns the runs that have not ended.
     std::vector<run> runs();
-    /// \returns the runs on the keys of \a range whose holds have not run out. A released hold runs
-    /// out when it would have without the release.
-    std::vector<run> runsUnderHold(const hold &range);
     int crashCount();
 
 private:
@@ -106,6 +100,7 @@
     bool holdsKey(int key) const;
     bool waitForSlot(const http_message &request, std::unique_lock<std::mutex> &lock);
     static milliseconds workOf(const http_message &request);
+    static std::string bodyOf(const http_message &request);
 
     const std::string m_name;
     const backend_options m_options;
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -32,6 +32,7 @@
 constexpr const char *serviceName = "ledger";
 constexpr const char *zoneName = "zone-a";
 constexpr const char *apiKey = "xd9dnn2ctnfzs989anu6";
+constexpr int scanTimeoutMillis = 4000;
 /// `contactMs` of the settings.
 constexpr milliseconds contactTime{3000};
 
@@ -56,11 +57,13 @@
 }
 
 /// A route to the service, as in the examples of the pages.
-json routeOf(const std::string &prefix, const std::string &kind)
+json routeOf(const std::string &prefix, const std::string &kind, int timeoutMillis = 1200)
 {
-    return {{"host", host},           {"prefix", prefix},       {"kind", kind},
-            {"timeoutMs", 1200},      {"targetLatencyMs", 600}, {"priority", 1},
-            {"service", serviceName}, {"maxAttempts", 2},       {"public", false}};
+    return {{"host", host},           {"prefix", prefix},
+            {"kind", kind},           {"timeoutMs", timeoutMillis},
+            {"targetLatencyMs", 600}, {"priority", 1},
+            {"service", serviceName}, {"maxAttempts", 2},
+            {"public", false}};
 }
 
 /// A configuration with one service, and a route for each kind of request.
@@ -74,7 +77,9 @@
     }
     return {{"version", "r7"},
             {"routes",
-             {{"lookup", routeOf("/rank/", "safe")}, {"filing", routeOf("/filing/", "unsafe")}}},
+             {{"lookup", routeOf("/rank/", "safe")},
+              {"filing", routeOf("/filing/", "unsafe")},
+              {"scan", routeOf("/scan/", "upload", scanTimeoutMillis)}}},
             {"services", {{serviceName, service}}},
             {"limits",
              {{"maxHeaderBytes", 16384},
@@ -307,91 +312,6 @@
     return retries > allowedRetries ? broken : held;
 }
 
-/// OWNER: a server sends a second copy of its last answer to a command, at the point where the
-/// answer to the next command is expected.
-int playExtraAnswer(const setup &s, recorder &record)
-{
-    constexpr int serverCount = 3;
-    constexpr int longWork = 900;
-    constexpr milliseconds workBegins{200};
-    constexpr milliseconds settlingTime{6000};
-    constexpr milliseconds moveTime{2500};
-    std::atomic<int> extraAnswers{0};
-    std::atomic<int> violations{0};
-    store platform(s.stores);
-    platform.put("op", "config", configuration(true));
-    std::list<backend> servers;
-    backend *faulty = nullptr;
-    std::mutex mutex; // Guards the pointer and the list.
-    backend::hooks hooks;
-    hooks.command = [&](backend &self, const http_message &command, connection &caller) {
-        const std::lock_guard<std::mutex> lock(mutex);
-        if (command.word(1) != "/release" || &self != faulty || !s.hasTrouble
-            || caller.lastAnswer.empty() || extraAnswers > 0) {
-            return;
-        }
-        ++extraAnswers;
-        record.write("server " + self.id() + " sends its last answer to a command again");
-        caller.write(caller.lastAnswer);
-    };
-    hooks.granted = [&](backend &self, const hold &granted) {
-        const std::lock_guard<std::mutex> lock(mutex);
-        for (backend &other : servers) {
-            if (&other == &self) {
-                continue;
-            }
-            for (const run &r : other.runsUnderHold(granted)) {
-                ++violations;
-                record.write("OWNER: server " + self.id() + " is given key " + std::to_string(r.key)
-                             + " with fence " + std::to_string(granted.fence) + " while "
-                             + other.id() + " is at work on it with " + r.id);
-            }
-        }
-    };
-    for (int i = 0; i < serverCount; ++i) {
-        const std::lock_guard<std::mutex> lock(mutex);
-        servers.emplace_back("s" + std::to_string(i),
-                             backend_options{serviceName, zoneName, 4, true}, "127.0.0.1:0",
-                             platform, record, hooks);
-    }
-    if (!waitUntilReady(s)) {
-        return couldNotRun;
-    }
-    client caller(record);
-    traffic ordinary(caller, s.fronts, true);
-    std::this_thread::sleep_for(settlingTime);
-    const std::vector<hold> holds = servers.front().holds();
-    if (holds.empty()) {
-        return couldNotRun;
-    }
-    std::list<std::thread> requests;
-    for (std::size_t i = 0; i < std::min<std::size_t>(holds.size(), 4); ++i) {
-        requests.emplace_back([&caller, &s, key = holds[i].first] {
-            caller.get(s.fronts.front(), "/rank/work-" + std::to_string(longWork), key);
-        });
-    }
-    std::this_thread::sleep_for(workBegins);
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        faulty = &servers.front();
-    }
-    servers.front().leave();
-    std::this_thread::sleep_for(workBegins);
-    // Shows whether both servers run requests on one key at the same time.
-    caller.get(s.fronts.back(), "/rank/next", holds.front().first);
-    std::this_thread::sleep_for(moveTime);
-    for (std::thread &request : requests) {
-        request.join();
-    }
-    ordinary.stop();
-    record.write("extra answers: " + std::to_string(extraAnswers)
-                 + ", keys given while another server was at work on them: "
-                 + std::to_string(violations));
-    record.write("ordinary requests: " + std::to_string(ordinary.sentCount()) + " sent, "
-                 + std::to_string(ordinary.servedCount()) + " served");
-    return violations > 0 ? broken : s.hasTrouble && extraAnswers == 0 ? couldNotRun : held;
-}
-
 /// FAILBACK: a server becomes cold again, and crashes at a rate well above what it tolerates.
 int playColdServer(const setup &s, recorder &record)
 {
@@ -668,18 +588,82 @@
     return lost > 0 && s.hasTrouble ? broken : held;
 }
 
+/// LOST: requesters stop reading for a while in the middle of an answer.
+int playSlowReader(const setup &s, recorder &record)
+{
+    constexpr int serverCount = 2;
+    constexpr int requesters = 6;
+    constexpr int allowed = 3; // As the rule states.
+    constexpr int receiveBytes = 4096;
+    constexpr milliseconds pause{3700};
+    constexpr milliseconds timeBudget{4000};
+    constexpr const char *path = "/scan/work-220/bytes-30000";
+    constexpr std::size_t bodyBytes = 30000;
+    constexpr std::size_t uploadBytes = 60000;
+    store platform(s.stores);
+    platform.put("op", "config", configuration(false));
+    std::list<backend> servers;
+    for (int i = 0; i < serverCount; ++i) {
+        servers.emplace_back("s" + std::to_string(i), backend_options{serviceName, zoneName, 8},
+                             "127.0.0.1:0", platform, record, backend::hooks{});
+    }
+    if (!waitUntilReady(s)) {
+        return couldNotRun;
+    }
+    std::this_thread::sleep_for(contactTime);
+    std::atomic<int> lost{0};
+    std::list<std::thread> threads;
+    for (int i = 0; i < requesters; ++i) {
+        threads.emplace_back([&, i] {
+            const std::string &front = s.fronts[static_cast<std::size_t>(i) % s.fronts.size()];
+            const auto open = connectTo(front, receiveBytes);
+            // The connection is kept: a small request comes first.
+            for (const char *target : {"/rank/small", path}) {
+                const bool isScan = target == path;
+                const std::string id = "r" + std::to_string(i) + (isScan ? "-scan" : "-small");
+                const time_point from = steady::now();
+                const std::string method = isScan ? "POST" : "GET";
+                record.write("client sends " + id + ' ' + method + ' ' + target + " to " + front);
+                const std::string fields = std::string("Host: ") + host + "\r\nRequest-Id: " + id
+                    + "\r\nDeadline-Ms: " + std::to_string(timeBudget.count())
+                    + "\r\nCredential: " + apiKey + "\r\n";
+                const std::string body(isScan ? uploadBytes : 0, 'x');
+                open->write(requestText(method, target, fields, body));
+                if (isScan && s.hasTrouble) {
+                    std::this_thread::sleep_for(pause);
+                }
+                http_message answer;
+                const bool isWhole = open->read(answer, from + timeBudget);
+                const std::chrono::duration<double> age = steady::now() - from;
+                record.write("client gets " + id + " status " + std::to_string(answer.status())
+                             + " stamp " + answer.field("response-stamp") + ", "
+                             + std::to_string(answer.body.size()) + " bytes after "
+                             + std::to_string(age.count()) + " s"
+                             + (isWhole ? "" : ", the connection ended early"));
+                lost += isScan && !(isWhole && answer.body.size() == bodyBytes) ? 1 : 0;
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    record.write("answers not received whole: " + std::to_string(lost) + " of "
+                 + std::to_string(requesters) + ", allowed " + std::to_string(allowed));
+    return lost > allowed ? broken : held;
+}
+
 int play(const std::string &name, const setup &s)
 {
     recorder record(s.recordPath);
     int result = couldNotRun;
     if (name == "crashing-request") {
         result = playCrashingRequest(s, record);
-    } else if (name == "extra-answer") {
-        result = playExtraAnswer(s, record);
     } else if (name == "cold-server") {
         result = playColdServer(s, record);
     } else if (name == "cut-reader") {
         result = playCutReader(s, record);
+    } else if (name == "slow-reader") {
+        result = playSlowReader(s, record);
     } else if (name == "long-request") {
         result = playLongRequest(s, record);
     }
--- a/review/standin-2/wire.cpp
+++ b/review/standin-2/wire.cpp
@@ -113,7 +113,14 @@
 void connection::write(const std::string &text)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL);
+    for (std::size_t sent = 0; sent < text.size();) {
+        const ssize_t count =
+            ::send(m_socket, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            return;
+        }
+        sent += static_cast<std::size_t>(count);
+    }
 }
 
 void connection::reset()
@@ -123,9 +130,12 @@
     ::shutdown(m_socket, SHUT_RDWR);
 }
 
-std::unique_ptr<connection> connectTo(const std::string &address)
+std::unique_ptr<connection> connectTo(const std::string &address, int receiveBytes)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receiveBytes > 0) {
+        ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+    }
     auto result = std::make_unique<connection>(socket);
     const sockaddr_in to = parseAddress(address);
     if (::connect(socket, reinterpret_cast<const sockaddr *>(&to), sizeof to) != 0) {
--- a/review/standin-2/wire.h
+++ b/review/standin-2/wire.h
@@ -55,8 +55,6 @@
     /// Closes both directions with a reset, as the end of a process does with unread input.
     void reset();
 
-    std::string lastAnswer; ///< the last answer that a server has sent here
-
 private:
     bool fill(time_point until);
 
@@ -66,7 +64,8 @@
 };
 
 /// \returns a connection to \a address (IP:PORT), or null.
-std::unique_ptr<connection> connectTo(const std::string &address);
+/// \param receiveBytes size of its receive buffer, 0 for that of the system
+std::unique_ptr<connection> connectTo(const std::string &address, int receiveBytes = 0);
 
 /// \class http_server
 /// \brief Runs a handler for each request, with one thread for each connection.
