--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -624,9 +624,10 @@
                 const time_point from = steady::now();
                 const std::string method = isScan ? "POST" : "GET";
                 record.write("client sends " + id + ' ' + method + ' ' + target + " to " + front);
-                const std::string fields = std::string("Host: ") + host + "\r\nRequest-Id: " + id
-                    + "\r\nDeadline-Ms: " + std::to_string(timeBudget.count())
-                    + "\r\nCredential: " + apiKey + "\r\n";
+                std::string fields = std::string("Host: ") + host + "\r\nRequest-Id: ";
+                fields.append(id).append("\r\nDeadline-Ms: ");
+                fields.append(std::to_string(timeBudget.count())).append("\r\nCredential: ");
+                fields.append(apiKey).append("\r\n");
                 const std::string body(isScan ? uploadBytes : 0, 'x');
                 open->write(requestText(method, target, fields, body));
                 if (isScan && s.hasTrouble) {
