--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -617,6 +617,9 @@
         threads.emplace_back([&, i] {
             const std::string &front = s.fronts[static_cast<std::size_t>(i) % s.fronts.size()];
             const auto open = connectTo(front, receiveBytes);
+            if (!open) {
+                return;
+            }
             // The connection is kept: a small request comes first.
             for (const char *target : {"/rank/small", path}) {
                 const bool isScan = target == path;
