--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -626,7 +626,9 @@
                 const std::string id = "r" + std::to_string(i) + (isScan ? "-scan" : "-small");
                 const time_point from = steady::now();
                 const std::string method = isScan ? "POST" : "GET";
-                record.write("client sends " + id + ' ' + method + ' ' + target + " to " + front);
+                std::string line = "client sends ";
+                line.append(id).append(" ").append(method).append(" ").append(target);
+                record.write(line.append(" to ").append(front));
                 std::string fields = std::string("Host: ") + host + "\r\nRequest-Id: ";
                 fields.append(id).append("\r\nDeadline-Ms: ");
                 fields.append(std::to_string(timeBudget.count())).append("\r\nCredential: ");
