A reset beside an upload no longer ends an answer without length

What callers saw: a target answered a long upload at once with a 200 without length, sent part of the body and reset the connection. The caller got that part as a complete answer; failures were cut in the same way. Commands to targets and commits to the store were affected alike.

Cause: a socket reports the error of a reset once, to the first operation that asks. While a request was being written, that was the write, whose error was dropped. The next read reported a plain end of the stream, which ends an answer without length.

Change: the end of the connection ends an answer only if the peer has ended its stream: TCP state CLOSE_WAIT, or EPIPE as the error of a reset behind a FIN. The pool writes in single steps, so that a write error is known when a read reports the end. This works because it asks for a proof of the end instead of for the absence of an error, which another operation may have received.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -4,11 +4,11 @@
 #include "status_code.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 32768;
+/// Limits the time that one call with a large body takes from the others on the event loop.
+constexpr std::size_t writeChunkBytes = 65536;
 /// Larger than any answer of the platform's tables or of a target.
 constexpr std::uint64_t maxAnswerBytes = 16U << 20U;
 constexpr std::uint32_t maxAnswerHeaderBytes = 65536;
@@ -75,7 +77,7 @@
         m_callId = callId;
         m_call = std::move(call);
         m_callback = std::move(done);
-        m_isWritten = false;
+        m_writtenBytes = 0;
         m_isReused = m_isConnected;
         m_skippedAnswers = 0;
         m_sentAt = {};
@@ -90,7 +92,7 @@
         if (mono_clock::now() >= m_call.deadline) {
             postFailure(call_failure::Unreachable);
         } else if (m_isConnected) {
-            write();
+            startWriting();
         } else {
             connect();
         }
@@ -223,25 +225,72 @@
             return;
         }
         m_isConnected = true;
-        write();
+        startWriting();
         read();
     }
 
-    void write()
+    void startWriting()
     {
         m_sentAt = mono_clock::now();
-        const std::array<boost::asio::const_buffer, 2> buffers{
-            boost::asio::buffer(m_call.head),
-            m_call.body ? boost::asio::buffer(*m_call.body) : boost::asio::const_buffer()};
-        boost::asio::async_write(
-            m_socket, buffers,
-            [self = shared_from_this(), callId = m_callId](error_code error, std::size_t) {
-                if (self->m_callId != callId || self->m_isClosed) {
-                    return;
-                }
-                self->m_isWritten = !error;
-                // After a write error the peer's early answer may still be readable.
-            });
+        write();
+    }
+
+    std::size_t bodyBytes() const { return m_call.body ? m_call.body->size() : 0; }
+    bool isWritten() const { return m_writtenBytes == m_call.head.size() + bodyBytes(); }
+
+    /// \returns the next part to write of the call's head and body.
+    std::array<boost::asio::const_buffer, 2> unwrittenPart() const
+    {
+        const std::size_t writtenOfHead = std::min(m_writtenBytes, m_call.head.size());
+        const auto head = boost::asio::buffer(m_call.head) + writtenOfHead;
+        const auto body =
+            (m_call.body ? boost::asio::buffer(*m_call.body) : boost::asio::const_buffer())
+            + (m_writtenBytes - writtenOfHead);
+        return {boost::asio::buffer(head, writeChunkBytes),
+                boost::asio::buffer(body, writeChunkBytes)};
+    }
+
+    /// Writes the next part. Not a composed operation, whose error could become known only after
+    /// the next read, see \ref hasPeerFinished().
+    void write()
+    {
+        error_code error;
+        m_writtenBytes += m_socket.write_some(unwrittenPart(), error);
+        if (error && error != boost::asio::error::would_block) {
+            m_writeError = error; // The peer's early answer may still be readable.
+        } else if (!isWritten()) {
+            m_socket.async_wait(tcp::socket::wait_write,
+                                [self = shared_from_this()](error_code waitError) {
+                                    self->runGuarded([&] { self->handleWritable(waitError); });
+                                });
+        }
+    }
+
+    void handleWritable(error_code error)
+    {
+        if (!m_isClosed && !error) {
+            write();
+        }
+    }
+
+    /// \returns whether the peer has ended its side of the stream (FIN), so that all it has sent
+    /// has been received. The end of the stream that a read reports does not say so: after a reset,
+    /// the first operation of either direction receives the error, and later reads an end of the
+    /// stream.
+    bool hasPeerFinished()
+    {
+        tcp_info info{};
+        socklen_t infoBytes = sizeof info;
+        if (::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &infoBytes) == 0
+            && info.tcpi_state == TCP_CLOSE_WAIT) {
+            return true;
+        }
+        int error = m_writeError.value();
+        socklen_t errorBytes = sizeof error;
+        if (error == 0) {
+            ::getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &errorBytes);
+        }
+        return error == EPIPE; // The error of a reset that follows a FIN; others are ECONNRESET.
     }
 
     void read()
@@ -346,7 +395,7 @@
             return;
         }
         error_code parseError;
-        if (error == boost::asio::error::eof) {
+        if (error == boost::asio::error::eof && hasPeerFinished()) {
             m_parser->put_eof(parseError);
             if (!parseError && m_parser->is_done()) {
                 m_endsWithConnection = true;
@@ -371,7 +420,7 @@
             }
             return;
         }
-        const bool keep = m_isWritten && !m_hasStrayAnswer && !m_endsWithConnection
+        const bool keep = isWritten() && !m_hasStrayAnswer && !m_endsWithConnection
             && answer.keep_alive() && m_buffer.size() == 0;
         const int stated = keepAliveSeconds(answer[http::field::keep_alive]);
         const auto done = std::move(m_callback);
@@ -438,6 +487,8 @@
     deadline_queue::deadline_id m_deadline = 0;
     deadline_queue::deadline_id m_connectDeadline = 0;
     deadline_queue::deadline_id m_idleDeadline = 0;
+    std::size_t m_writtenBytes = 0; ///< of the present call's head and body
+    error_code m_writeError; ///< of the first write that has failed
     time_point m_sentAt{}; ///< of the present call, empty until it is sent
     time_point m_idleSince{};
     time_point m_idleUntil{};
@@ -446,7 +497,6 @@
     std::size_t m_heldBytes = 0; ///< received of an answer that is not complete
     bool m_isConnected = false;
     bool m_isReused = false; ///< it carried another call before the present one
-    bool m_isWritten = false;
     bool m_hasStrayAnswer = false; ///< received an answer that belongs to no present call
     bool m_endsWithConnection = false; ///< the end of the connection delimits the answer's body
     bool m_isClosed = false;
--- a/test/support/transport_fixture.h
+++ b/test/support/transport_fixture.h
@@ -295,9 +295,11 @@
 class routed_listener
 {
 public:
-    explicit routed_listener(const std::string &targetAddress, std::string targetName = "t")
+    explicit routed_listener(const std::string &targetAddress, std::string targetName = "t",
+                             caller_limits limits = {})
         : address("127.0.0.1:" + std::to_string(freePort()))
         , m_targetName(std::move(targetName))
+        , m_limits(limits)
     {
         m_loop.call([&] { start(targetAddress); });
     }
@@ -312,14 +314,15 @@
     }
 
     /// Sends a request with the id 7. \returns the answer
-    std::string post(const std::string &fields = {})
+    std::string post(const std::string &fields = {}, const std::string &body = "x")
     {
         asio::io_context context;
         tcp::socket socket(context);
         socket.connect(tcpEndpoint(address));
         asio::write(socket,
                     asio::buffer("POST /once/ HTTP/1.1\r\nHost: a\r\nId: 7\r\nKey: 5\r\n" + fields
-                                 + "Connection: close\r\nContent-Length: 1\r\n\r\nx"));
+                                 + "Connection: close\r\nContent-Length: "
+                                 + std::to_string(body.size()) + "\r\n\r\n" + body));
         std::string received;
         boost::system::error_code ended;
         asio::read(socket, asio::dynamic_buffer(received), ended);
@@ -380,13 +383,14 @@
         owners.owners.push_back(owner);
         m_router->setOwners(service_id("ledger"), owners);
         m_listener = std::make_unique<http_listener>(
-            m_loop.loop, m_loop.deadlines, m_loop.guard, address, [] { return caller_limits(); },
+            m_loop.loop, m_loop.deadlines, m_loop.guard, address, [this] { return m_limits; },
             [this](std::shared_ptr<http_exchange> exchange) {
                 m_router->serve(std::move(exchange));
             });
     }
 
     std::string m_targetName;
+    caller_limits m_limits;
     loop_thread m_loop;
     target_pool m_targets{data_center_id("near")};
     rate_limiter m_tokens{"vm-1", [](std::string_view) { return std::optional<fleet_limit>(); },
