Answers with folded field lines are invalid

What callers saw: a target sent a head with a line that begins with a blank or a tab. The caller got the answer, with that line as a part of the field before it, or with a body that ended elsewhere than the target's: a folded Content-Length was no length any more.

Cause: the parser joins such a line to the field before it (obs-fold), in heads, interim answers and trailers.

Change: outgoing_pool looks for folded lines in what the parser has taken as a head or trailer. This works for every reader, because all answers of the node are parsed there, and the parser takes a field with its continuation at once.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -1,5 +1,6 @@
 #include "outgoing_pool.h"
 
+#include "answer_syntax.h"
 #include "http_listener.h"
 #include "status_code.h"
 
@@ -350,10 +351,13 @@
             if (!m_parser) {
                 startParser();
             }
+            const bool hadHead = m_parser->is_header_done();
             error_code error;
             const std::size_t used = m_parser->put(m_buffer.data(), error);
+            const auto *const bytes = static_cast<const char *>(m_buffer.data().data());
+            const bool isPartValid = isValid({bytes, used}, hadHead);
             m_buffer.consume(used);
-            if (m_parser->is_header_done() && statusClass() == status_class::Invalid) {
+            if (!isPartValid) {
                 fail(call_failure::InvalidAnswer);
                 return;
             }
@@ -385,6 +389,20 @@
         m_parser->skip(m_call.isHeadRequest);
     }
 
+    /// Makes the checks that the parser does not make.
+    /// \param parsed what the parser has just taken
+    /// \param hadHead whether the head was complete before
+    /// \returns whether the answer is valid as far as it has been parsed
+    bool isValid(std::string_view parsed, bool hadHead)
+    {
+        // The parser takes whole fields of a head, and a trailer at once with the last chunk.
+        const bool hasTrailer = hadHead && m_parser->chunked() && m_parser->is_done();
+        if ((!hadHead || hasTrailer) && hasFoldedLine(parsed)) {
+            return false;
+        }
+        return !m_parser->is_header_done() || statusClass() != status_class::Invalid;
+    }
+
     /// \returns the class of the answer whose header has been parsed.
     status_class statusClass() { return classifyStatus(m_parser->get().result_int()); }
 
--- a/test/broken_answers_test.cpp
+++ b/test/broken_answers_test.cpp
@@ -154,7 +154,7 @@
         m_heartbeats = std::thread([this] {
             while (!m_isOver) {
                 m_loop.call([this] { m_socket.send(m_ip, ownHeartbeat()); });
-                std::this_thread::sleep_for(milliseconds(100));
+                std::this_thread::sleep_for(milliseconds(20));
             }
         });
     }
@@ -316,6 +316,13 @@
     CPPUNIT_TEST(resetEndsNoAnswerOfAnotherVm);
     CPPUNIT_TEST(wholeAnswerBeforeAResetIsAccepted);
     CPPUNIT_TEST(answerEndedByItsConnectionIsAccepted);
+    CPPUNIT_TEST(invalidStatusIsNoAnswer);
+    CPPUNIT_TEST(invalidStatusIsNoAnswerOfAnotherVm);
+    CPPUNIT_TEST(malformedFieldIsNoAnswer);
+    CPPUNIT_TEST(malformedFieldIsNoAnswerOfAnotherVm);
+    CPPUNIT_TEST(malformedFieldInPiecesIsNoAnswer);
+    CPPUNIT_TEST(malformedFieldOfAnInterimAnswer);
+    CPPUNIT_TEST(malformedFieldOfATrailer);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a part of an answer without length that is taken for the whole: the write of
@@ -425,6 +432,109 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
+
+    // Guards against statuses that mean nothing to the reader, such as 000.
+    void invalidStatusIsNoAnswer()
+    {
+        answer_check check(false);
+        for (const answer_reader &reader : allReaders()) {
+            for (const std::string &statusLine : invalidStatusLines()) {
+                for (const body_framing &framing : framings(reader.body.size())) {
+                    check.add(reader,
+                              {headFor(reader, statusLine) + framing.field + "\r\n"
+                                   + framing.encode(reader.body),
+                               framing.end});
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
+    }
+
+    void invalidStatusIsNoAnswerOfAnotherVm()
+    {
+        std::vector<faulty_answer> broken;
+        const answer_reader reader{"", "", node_with_peer::configText(2), {}};
+        for (const std::string &statusLine : invalidStatusLines()) {
+            broken.push_back({headFor(reader, statusLine) + "Content-Length: "
+                              + std::to_string(reader.body.size()) + "\r\n\r\n" + reader.body});
+        }
+        checkPeerAnswers(broken);
+    }
+
+    // Guards against a head whose lines mean something else to the reader than to others: a line
+    // that is no field is passed on, or changes where the body ends.
+    void malformedFieldIsNoAnswer()
+    {
+        answer_check check(false);
+        for (const answer_reader &reader : allReaders()) {
+            for (const std::string &line : malformedFieldLines()) {
+                for (const faulty_answer &answer : answersWithLine(reader, line)) {
+                    check.add(reader, answer);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
+    }
+
+    void malformedFieldIsNoAnswerOfAnotherVm()
+    {
+        std::vector<faulty_answer> broken;
+        const answer_reader reader{"", "", node_with_peer::configText(2), {}};
+        for (const std::string line :
+             {" folded value", "\tContent-Length: 3", "X Y: 1", "X\x01Y: 1", "X : 1"}) {
+            for (const faulty_answer &answer : answersWithLine(reader, line)) {
+                broken.push_back(answer);
+            }
+        }
+        checkPeerAnswers(broken);
+    }
+
+    // The same if the parser has to wait for the rest of a line.
+    void malformedFieldInPiecesIsNoAnswer()
+    {
+        answer_check check(false);
+        const answer_reader reader = callerRequest(1);
+        for (const std::string line : {" folded value", "\tContent-Length: 3", "X Y: 1", "X : 1"}) {
+            for (faulty_answer answer : answersWithLine(reader, line)) {
+                for (const std::size_t pieceBytes : {1, 2, 7}) {
+                    answer.pieceBytes = pieceBytes;
+                    check.add(reader, answer);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
+    }
+
+    void malformedFieldOfAnInterimAnswer()
+    {
+        answer_check check(false);
+        for (const answer_reader &reader : allReaders()) {
+            for (const std::string &line : malformedFieldLines()) {
+                for (const std::string &fields :
+                     {line + "\r\nA: 1\r\n", "A: 1\r\n" + line + "\r\n"}) {
+                    check.add(
+                        reader,
+                        {"HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n" + validAnswer(reader)});
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
+    }
+
+    void malformedFieldOfATrailer()
+    {
+        answer_check check(false);
+        for (const answer_reader &reader : allReaders()) {
+            const std::string head = headFor(reader) + "Transfer-Encoding: chunked\r\n\r\n";
+            for (const std::string &line : malformedFieldLines()) {
+                for (const std::string &trailer :
+                     {line + "\r\nA: 1\r\n", "A: 1\r\n" + line + "\r\n"}) {
+                    check.add(reader, {head + chunkedBody(reader.body, trailer)});
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(broken_answers_test, "broken_answers");
