Answers in a transfer coding other than chunked are invalid

What callers saw: a body that a target had sent with Transfer-Encoding: gzip, or gzip, chunked, as the coded bytes with a length of their own and without the field that names the coding.

Cause: the parser removes a last coding `chunked` and takes any other value for an answer without length, and the field is removed between two hops.

Change: outgoing_pool accepts an answer without the field or with a single `chunked`.

--- a/src/Proxy/answer_syntax.h
+++ b/src/Proxy/answer_syntax.h
@@ -3,6 +3,10 @@
 
 #pragma once
 
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/fields.hpp>
+
+#include <iterator>
 #include <string_view>
 
 namespace damaskward {
@@ -24,4 +28,14 @@
     return false;
 }
 
+/// \returns whether the body has no transfer coding except `chunked`, which the parser removes. A
+/// body in another one would be passed on without the field that names its coding.
+inline bool hasKnownTransferCoding(const boost::beast::http::fields &head)
+{
+    const auto codings = head.equal_range(boost::beast::http::field::transfer_encoding);
+    return codings.first == codings.second
+        || (std::next(codings.first) == codings.second
+            && boost::beast::iequals(codings.first->value(), "chunked"));
+}
+
 } // namespace damaskward
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -400,7 +400,10 @@
         if ((!hadHead || hasTrailer) && hasFoldedLine(parsed)) {
             return false;
         }
-        return !m_parser->is_header_done() || statusClass() != status_class::Invalid;
+        if (hadHead || !m_parser->is_header_done()) {
+            return true;
+        }
+        return statusClass() != status_class::Invalid && hasKnownTransferCoding(m_parser->get());
     }
 
     /// \returns the class of the answer whose header has been parsed.
--- a/test/broken_answers_test.cpp
+++ b/test/broken_answers_test.cpp
@@ -323,6 +323,7 @@
     CPPUNIT_TEST(malformedFieldInPiecesIsNoAnswer);
     CPPUNIT_TEST(malformedFieldOfAnInterimAnswer);
     CPPUNIT_TEST(malformedFieldOfATrailer);
+    CPPUNIT_TEST(unknownTransferCodingIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a part of an answer without length that is taken for the whole: the write of
@@ -535,6 +536,20 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
+
+    // Guards against a body that reaches its reader in a coding of which the reader is not told.
+    void unknownTransferCodingIsNoAnswer()
+    {
+        answer_check check(false);
+        for (const answer_reader &reader : allReaders()) {
+            for (const std::string &fields : unknownTransferCodings()) {
+                const std::string head = headFor(reader) + fields + "\r\n";
+                check.add(reader, {head + reader.body, connection_end::Finished});
+                check.add(reader, {head + chunkedBody(reader.body), connection_end::Finished});
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(broken_answers_test, "broken_answers");
--- a/test/support/broken_answers.h
+++ b/test/support/broken_answers.h
@@ -103,6 +103,20 @@
     return lines;
 }
 
+/// \returns fields that name other transfer codings than `chunked` alone.
+inline std::vector<std::string> unknownTransferCodings()
+{
+    std::vector<std::string> fields;
+    for (const char *coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked gzip", "chunkedx",
+          "xchunked", "chunked;q=1", "identity", "identity, chunked", "x", ""}) {
+        fields.push_back("Transfer-Encoding: " + std::string(coding) + "\r\n");
+    }
+    fields.emplace_back("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n");
+    fields.emplace_back("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n");
+    return fields;
+}
+
 /// \returns answers of \a reader in which \a line comes before, between and behind the other
 /// fields, with every framing.
 inline std::vector<faulty_answer> answersWithLine(const answer_reader &reader,
