The gate of a target that is down refuses requests that can run elsewhere

What callers saw: after a crash of a target of an unkeyed service, a request ended after its whole deadline with 503 deadline, not-run, although others were free.

Cause: the gate closes its queue when a grant is refused. Entries learn of that from the table and still send requests for some milliseconds; these waited in the closed queue.

A trace of the gate showed the request at a target that was down.

Change: such a gate refuses with `unreachable`, also what waits already; the entry sends the request to another target, with its delay between sends to the same one. Requests of keyed services wait as before.

--- a/src/Daemon/control_loop.cpp
+++ b/src/Daemon/control_loop.cpp
@@ -264,6 +264,7 @@
         info.boot = lease->boot();
         info.open = lease->status() == target_status::Up && lease->isCurrent() && !lease->fenced()
             && m_machine.holds(gateRole(target), now);
+        info.isDown = lease->status() == target_status::Down;
         info.keyed = service->keyed;
         info.runningForOthers = lease->runningForOthers();
         info.authority = std::min(m_machine.session().authority(), lease->grantedUntil());
--- a/src/Daemon/control_view.h
+++ b/src/Daemon/control_view.h
@@ -24,6 +24,7 @@
     std::uint64_t gateTerm = 0;
     std::uint64_t boot = 0;
     bool open = false; ///< the target has confirmed the current grants
+    bool isDown = false; ///< the target cannot be reached
     bool keyed = false;
     int runningForOthers = 0; ///< requests of previous gates still running at the target
     time_point authority; ///< when this VM must stop acting as the gate
--- a/src/Daemon/gate_handler.cpp
+++ b/src/Daemon/gate_handler.cpp
@@ -91,22 +91,40 @@
             gateState->queue.setBoot(info.boot, now);
             gateState->queue.setRunningFromOtherGate(info.runningForOthers);
         }
+        if (mustRefuseAll(info)) {
+            refuseWaiting(*gateState, refusal::unreachable);
+        }
         dispatchReady(gateState);
     }
     for (const std::shared_ptr<gate> &gateState : released) {
-        std::vector<std::shared_ptr<pending>> refusedRequests;
         {
             const std::lock_guard lock(gateState->mutex);
             gateState->queue.setOpen(false);
-            for (const request_number number : gateState->queue.drainAll()) {
-                refusedRequests.push_back(gateState->requests[number]);
-                gateState->requests.erase(number);
-            }
         }
-        for (const auto &pendingRequest : refusedRequests) {
-            pendingRequest->done(makeRefused(503, run_state::NotRun, refusal::notGate));
+        refuseWaiting(*gateState, refusal::notGate);
+    }
+}
+
+/// Requests of a keyed service wait for their owner, the only target that can run them. Others can
+/// run elsewhere at once.
+bool gate_handler::mustRefuseAll(const gate_info &info)
+{
+    return info.isDown && !info.keyed;
+}
+
+void gate_handler::refuseWaiting(gate &gateState, std::string_view reason)
+{
+    std::vector<std::shared_ptr<pending>> refusedRequests;
+    {
+        const std::lock_guard lock(gateState.mutex);
+        for (const request_number number : gateState.queue.drainAll()) {
+            refusedRequests.push_back(gateState.requests[number]);
+            gateState.requests.erase(number);
         }
     }
+    for (const auto &pendingRequest : refusedRequests) {
+        pendingRequest->done(makeRefused(503, run_state::NotRun, reason));
+    }
 }
 
 std::string_view gate_handler::refusalReason(const gate &gateState,
@@ -115,6 +133,9 @@
     if (gateState.info->authority <= mono_clock::now() && gateState.info->open) {
         return refusal::notGate;
     }
+    if (mustRefuseAll(*gateState.info)) {
+        return refusal::unreachable;
+    }
     if (request.shard && gateState.info->epochs.count(*request.shard) == 0) {
         return refusal::notOwner;
     }
--- a/src/Daemon/gate_handler.h
+++ b/src/Daemon/gate_handler.h
@@ -85,6 +85,8 @@
     using dispatch_job_ptr = std::shared_ptr<dispatch_job>;
 
     std::shared_ptr<gate> findGate(const target_id &target) const;
+    static bool mustRefuseAll(const gate_info &info);
+    static void refuseWaiting(gate &gateState, std::string_view reason);
     std::string_view refusalReason(const gate &gateState, const forward_request &request) const;
     void dispatchReady(const std::shared_ptr<gate> &gateState);
     void startJob(const dispatch_job_ptr &job);
--- a/test/process_once_test.cpp
+++ b/test/process_once_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(platformOutageIsNotRun);
     CPPUNIT_TEST(deadlinePassesDuringRun);
     CPPUNIT_TEST(crashingRequestIsQuarantinedAfterTwoTargets);
+    CPPUNIT_TEST(otherRequestsAreServedAfterACrash);
     CPPUNIT_TEST_SUITE_END();
 
     void resendReturnsRecordedAnswer()
@@ -203,7 +204,26 @@
         CPPUNIT_ASSERT(terminated <= 2);
         CPPUNIT_ASSERT_EQUAL(std::string("quarantined"),
                              fleet.get(1, "/promotion/poison", apiKey).reason());
-        CPPUNIT_ASSERT_EQUAL(std::string("run"), fleet.get(1, "/promotion/other", apiKey).state());
+        const http_answer other = fleet.get(1, "/promotion/other", apiKey);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(other.reason(), std::string("run"), other.state());
+    }
+
+    // Guards against requests that wait until their deadline at the gate of a target that is down,
+    // although other targets are free: the entry learns of the crash later than the gate.
+    void otherRequestsAreServedAfterACrash()
+    {
+        fleet_options options = promotionFleet(24600, R"({"crash_key":"poison"})");
+        options.targets.push_back({"promotion/p3", "a", R"({"crash_key":"poison"})", "slots=2"});
+        options.targets.push_back({"promotion/p4", "a", R"({"crash_key":"poison"})", "slots=2"});
+        options.rules.replace(options.rules.find("non-idempotent"), 14, "idempotent");
+        process_fleet fleet(options);
+        CPPUNIT_ASSERT(fleet.start());
+        fleet.get(0, "/promotion/poison", apiKey);
+        const time_point end = mono_clock::now() + milliseconds(600);
+        for (std::size_t i = 0; mono_clock::now() < end; ++i) {
+            const http_answer other = fleet.get(i % 3, "/promotion/other", apiKey);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(other.reason(), std::string("run"), other.state());
+        }
     }
 };
 
