--- a/test/broken_answers_test.cpp
+++ b/test/broken_answers_test.cpp
@@ -1,5 +1,6 @@
 // Answers of faulty servers at each part of damaskward-node that reads answers: requests of
-// callers, health checks, commands to targets, the store. An answer is whole, or there is none.
+// callers, health checks, commands to targets, the store, other VMs. An answer is whole, or there
+// is none.
 
 #include "platform/owner_commands.h"
 #include "platform/store_client.h"
@@ -65,9 +66,10 @@
     return router.post({}, std::string(bodyBytes, 'u'));
 }
 
+/// \returns whether a caller got an answer of its target, of which only targets send the proof.
 bool isForwarded(const std::string &answer)
 {
-    return answer.find("HTTP/1.1 502") != 0;
+    return answer.find("\r\nProof: p\r\n") != std::string::npos;
 }
 
 answer_reader callerRequest(std::size_t bodyBytes)
@@ -145,15 +147,17 @@
     /// \param answers what the other VM answers
     explicit node_with_peer(faulty_server::script answers)
         : m_peer(std::move(answers), m_peerIp, peerPort)
-        , m_socket(m_loop.loop, m_loop.guard, m_peerIp, peerPort,
-                   [](peer_message &&, const std::string &) {})
     {
+        m_loop.call([this] {
+            m_socket = std::make_unique<peer_socket>(m_loop.loop, m_loop.guard, m_peerIp, peerPort,
+                                                     [](peer_message &&, const std::string &) {});
+        });
         std::filesystem::create_directories(m_folder);
         m_store.put("op", "config", configText(1));
         start();
         m_heartbeats = std::thread([this] {
             while (!m_isOver) {
-                m_loop.call([this] { m_socket.send(m_ip, ownHeartbeat()); });
+                m_loop.call([this] { m_socket->send(m_ip, ownHeartbeat()); });
                 std::this_thread::sleep_for(milliseconds(20));
             }
         });
@@ -164,6 +168,7 @@
         ::waitpid(m_process, nullptr, 0);
         m_isOver = true;
         m_heartbeats.join();
+        m_loop.call([this] { m_socket.reset(); });
     }
     node_with_peer(const node_with_peer &) = delete;
     node_with_peer &operator=(const node_with_peer &) = delete;
@@ -260,7 +265,7 @@
     store_standin m_store;
     faulty_server m_peer;
     loop_thread m_loop;
-    peer_socket m_socket;
+    std::unique_ptr<peer_socket> m_socket;
     std::atomic<bool> m_isOver{false};
     std::thread m_heartbeats;
     pid_t m_process = 0;
@@ -316,6 +321,7 @@
     CPPUNIT_TEST(resetEndsNoAnswerOfAnotherVm);
     CPPUNIT_TEST(wholeAnswerBeforeAResetIsAccepted);
     CPPUNIT_TEST(answerEndedByItsConnectionIsAccepted);
+    CPPUNIT_TEST(callerGetsTheWholeBody);
     CPPUNIT_TEST(invalidStatusIsNoAnswer);
     CPPUNIT_TEST(invalidStatusIsNoAnswerOfAnotherVm);
     CPPUNIT_TEST(malformedFieldIsNoAnswer);
@@ -434,6 +440,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
 
+    // Guards against an answer that is forwarded in part.
+    void callerGetsTheWholeBody()
+    {
+        for (const std::size_t bodyBytes : {std::size_t{1}, uploadBytes}) {
+            const answer_reader reader = callerRequest(bodyBytes);
+            for (const body_framing &framing : framings(reader.body.size())) {
+                faulty_answer next{headFor(reader) + framing.field + "\r\n"
+                                       + framing.encode(reader.body),
+                                   framing.end};
+                for (const std::size_t pieceBytes : {0, 3}) {
+                    next.pieceBytes = pieceBytes;
+                    faulty_server server([&next](const std::string &) { return next; });
+                    const std::string answer = answerToCaller(server.address(), bodyBytes);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::size_t{0},
+                                                 answer.find("HTTP/1.1 200"));
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, "\r\n\r\n" + reader.body,
+                                                 answer.substr(answer.find("\r\n\r\n")));
+                }
+            }
+        }
+    }
+
     // Guards against statuses that mean nothing to the reader, such as 000.
     void invalidStatusIsNoAnswer()
     {
