Broken answers: both suites take their answers from the shared header

The same lists of answers stood in both test files. No answer is left out: interim answers and trailers share a test in each suite.

--- a/test/broken_answers_test.cpp
+++ b/test/broken_answers_test.cpp
@@ -327,8 +327,7 @@
     CPPUNIT_TEST(malformedFieldIsNoAnswer);
     CPPUNIT_TEST(malformedFieldIsNoAnswerOfAnotherVm);
     CPPUNIT_TEST(malformedFieldInPiecesIsNoAnswer);
-    CPPUNIT_TEST(malformedFieldOfAnInterimAnswer);
-    CPPUNIT_TEST(malformedFieldOfATrailer);
+    CPPUNIT_TEST(malformedFieldOfAnInterimAnswerOrTrailer);
     CPPUNIT_TEST(unknownTransferCodingIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -467,13 +466,8 @@
     {
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
-            for (const std::string &statusLine : invalidStatusLines()) {
-                for (const body_framing &framing : framings(reader.body.size())) {
-                    check.add(reader,
-                              {headFor(reader, statusLine) + framing.field + "\r\n"
-                                   + framing.encode(reader.body),
-                               framing.end});
-                }
+            for (const body_framing &framing : framings(reader.body.size())) {
+                check.add(reader, invalidStatusAnswers(reader, framing));
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
@@ -481,13 +475,8 @@
 
     void invalidStatusIsNoAnswerOfAnotherVm()
     {
-        std::vector<faulty_answer> broken;
         const answer_reader reader{"", "", node_with_peer::configText(2), {}};
-        for (const std::string &statusLine : invalidStatusLines()) {
-            broken.push_back({headFor(reader, statusLine) + "Content-Length: "
-                              + std::to_string(reader.body.size()) + "\r\n\r\n" + reader.body});
-        }
-        checkPeerAnswers(broken);
+        checkPeerAnswers(invalidStatusAnswers(reader, framings(reader.body.size()).front()));
     }
 
     // Guards against a head whose lines mean something else to the reader than to others: a line
@@ -497,9 +486,7 @@
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
             for (const std::string &line : malformedFieldLines()) {
-                for (const faulty_answer &answer : answersWithLine(reader, line)) {
-                    check.add(reader, answer);
-                }
+                check.add(reader, answersWithLine(reader, line));
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
@@ -534,32 +521,13 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
 
-    void malformedFieldOfAnInterimAnswer()
-    {
-        answer_check check(false);
-        for (const answer_reader &reader : allReaders()) {
-            for (const std::string &line : malformedFieldLines()) {
-                for (const std::string &fields :
-                     {line + "\r\nA: 1\r\n", "A: 1\r\n" + line + "\r\n"}) {
-                    check.add(
-                        reader,
-                        {"HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n" + validAnswer(reader)});
-                }
-            }
-        }
-        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
-    }
-
-    void malformedFieldOfATrailer()
+    void malformedFieldOfAnInterimAnswerOrTrailer()
     {
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
-            const std::string head = headFor(reader) + "Transfer-Encoding: chunked\r\n\r\n";
             for (const std::string &line : malformedFieldLines()) {
-                for (const std::string &trailer :
-                     {line + "\r\nA: 1\r\n", "A: 1\r\n" + line + "\r\n"}) {
-                    check.add(reader, {head + chunkedBody(reader.body, trailer)});
-                }
+                check.add(reader, answersWithOtherFields(reader, line + "\r\nA: 1\r\n"));
+                check.add(reader, answersWithOtherFields(reader, "A: 1\r\n" + line + "\r\n"));
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
@@ -570,11 +538,7 @@
     {
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
-            for (const std::string &fields : unknownTransferCodings()) {
-                const std::string head = headFor(reader) + fields + "\r\n";
-                check.add(reader, {head + reader.body, connection_end::Finished});
-                check.add(reader, {head + chunkedBody(reader.body), connection_end::Finished});
-            }
+            check.add(reader, unknownCodingAnswers(reader));
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
--- a/test/daemon_answers_test.cpp
+++ b/test/daemon_answers_test.cpp
@@ -174,8 +174,7 @@
     CPPUNIT_TEST(resetEndsNoAnswer);
     CPPUNIT_TEST(invalidStatusIsNoAnswer);
     CPPUNIT_TEST(malformedFieldIsNoAnswer);
-    CPPUNIT_TEST(malformedFieldOfAnInterimAnswer);
-    CPPUNIT_TEST(malformedFieldOfATrailer);
+    CPPUNIT_TEST(malformedFieldOfAnInterimAnswerOrTrailer);
     CPPUNIT_TEST(unknownTransferCodingIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -246,11 +245,7 @@
     {
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
-            for (const std::string &statusLine : invalidStatusLines()) {
-                check.add(reader,
-                          {headFor(reader, statusLine) + "Content-Length: "
-                           + std::to_string(reader.body.size()) + "\r\n\r\n" + reader.body});
-            }
+            check.add(reader, invalidStatusAnswers(reader, framings(reader.body.size()).front()));
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
@@ -261,36 +256,20 @@
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
             for (const std::string &line : malformedFieldLines()) {
-                for (const faulty_answer &answer : answersWithLine(reader, line)) {
-                    check.add(reader, answer);
-                }
-            }
-        }
-        CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
-    }
-
-    void malformedFieldOfAnInterimAnswer()
-    {
-        answer_check check(false);
-        for (const answer_reader &reader : allReaders()) {
-            for (const char *line : {" folded value", "X Y: 1", "X\x01Y: 1", "X : 1"}) {
-                std::string text = "HTTP/1.1 103 Early Hints\r\nA: 1\r\n";
-                text.append(line).append("\r\n\r\n").append(validAnswer(reader));
-                check.add(reader, {text});
+                check.add(reader, answersWithLine(reader, line));
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
 
-    void malformedFieldOfATrailer()
+    void malformedFieldOfAnInterimAnswerOrTrailer()
     {
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
-            const std::string head = headFor(reader) + "Transfer-Encoding: chunked\r\n\r\n";
             for (const char *line : {" folded value", "X Y: 1", "X\x01Y: 1", "X : 1"}) {
-                std::string trailer = "A: 1\r\n";
-                trailer.append(line).append("\r\n");
-                check.add(reader, {head + chunkedBody(reader.body, trailer)});
+                std::string fields = "A: 1\r\n";
+                check.add(reader,
+                          answersWithOtherFields(reader, fields.append(line).append("\r\n")));
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
@@ -300,11 +279,7 @@
     {
         answer_check check(false);
         for (const answer_reader &reader : allReaders()) {
-            for (const std::string &fields : unknownTransferCodings()) {
-                const std::string head = headFor(reader) + fields + "\r\n";
-                check.add(reader, {head + reader.body, connection_end::Finished});
-                check.add(reader, {head + chunkedBody(reader.body), connection_end::Finished});
-            }
+            check.add(reader, unknownCodingAnswers(reader));
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), check.wrong());
     }
--- a/test/support/broken_answers.h
+++ b/test/support/broken_answers.h
@@ -117,6 +117,21 @@
     return fields;
 }
 
+/// \returns answers of \a reader with invalid status lines and the body framed by \a framing.
+inline std::vector<faulty_answer> invalidStatusAnswers(const answer_reader &reader,
+                                                       const body_framing &framing)
+{
+    std::vector<faulty_answer> answers;
+    const std::string rest = framing.field + "\r\n" + framing.encode(reader.body);
+    for (const std::string &statusLine : invalidStatusLines()) {
+        faulty_answer answer;
+        answer.text = headFor(reader, statusLine).append(rest);
+        answer.end = framing.end;
+        answers.push_back(answer);
+    }
+    return answers;
+}
+
 /// \returns answers of \a reader in which \a line comes before, between and behind the other
 /// fields, with every framing.
 inline std::vector<faulty_answer> answersWithLine(const answer_reader &reader,
@@ -137,6 +152,33 @@
     return answers;
 }
 
+/// \returns a valid answer behind an interim one with \a fields, and one with \a fields as trailer.
+inline std::vector<faulty_answer> answersWithOtherFields(const answer_reader &reader,
+                                                         const std::string &fields)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n";
+    const std::string head = headFor(reader) + "Transfer-Encoding: chunked\r\n\r\n";
+    std::vector<faulty_answer> answers(2);
+    answers[0].text = interim + validAnswer(reader);
+    answers[1].text = head + chunkedBody(reader.body, fields);
+    return answers;
+}
+
+/// \returns answers of \a reader with other transfer codings than `chunked` alone.
+inline std::vector<faulty_answer> unknownCodingAnswers(const answer_reader &reader)
+{
+    std::vector<faulty_answer> answers;
+    for (const std::string &fields : unknownTransferCodings()) {
+        for (const std::string &body : {reader.body, chunkedBody(reader.body)}) {
+            faulty_answer answer;
+            answer.text = headFor(reader) + fields + "\r\n" + body;
+            answer.end = connection_end::Finished;
+            answers.push_back(answer);
+        }
+    }
+    return answers;
+}
+
 /// \returns whether \a reader accepts \a answer, which it must have asked for.
 inline bool isAccepted(const answer_reader &reader, const faulty_answer &answer)
 {
@@ -167,6 +209,13 @@
         }
     }
 
+    void add(const answer_reader &reader, const std::vector<faulty_answer> &answers)
+    {
+        for (const faulty_answer &answer : answers) {
+            add(reader, answer);
+        }
+    }
+
     /// \returns the answers for which that was wrong, or an empty text.
     std::string wrong() const
     {
