--- a/test/support/broken_answers.h
+++ b/test/support/broken_answers.h
@@ -171,7 +171,7 @@
     for (const std::string &fields : unknownTransferCodings()) {
         for (const std::string &body : {reader.body, chunkedBody(reader.body)}) {
             faulty_answer answer;
-            answer.text = headFor(reader) + fields + "\r\n" + body;
+            answer.text = headFor(reader).append(fields).append("\r\n").append(body);
             answer.end = connection_end::Finished;
             answers.push_back(answer);
         }
