Tell slow readers from lost peers by their acknowledgements

Callers that began to read more than 3 s after their request were reset and lost their answers, also those to uploads that had run; an upload to a target that reads slowly ended with 502.

Cause: TCP_USER_TIMEOUT of 3 s, which on Linux also limits how long a receive window may stay closed. With a closed window and all segments dropped, the kernel sent two probes in 10 s, so without the option a lost peer would hold its answer for long.

While data is outstanding, the connection now checks what the kernel reports: 3 s without an acknowledgement of segments, or two unanswered probes, mean a lost peer. A slow reader answers its probes. Answers that the kernel still holds also keep their connection open after the last answer and in a planned stop, as input that arrives after a close makes the kernel discard them.

--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -1057,6 +1057,7 @@
     m_memoryReport.updateGauges();
     m_metrics.gauge("requests_under_way", static_cast<double>(m_router.inFlightCount()));
     m_metrics.gauge("caller_connections", static_cast<double>(m_callerListener.connectionCount()));
+    m_metrics.gauge("callers_lost", static_cast<double>(m_callerListener.lostCallerCount()));
     m_metrics.gauge("connections_opened", static_cast<double>(m_pool.openedCount()));
     m_metrics.gauge("targets_usable", usableTargets);
     m_metrics.gauge("targets_cold", coldTargets);
--- a/src/Proxy/http_listener.cpp
+++ b/src/Proxy/http_listener.cpp
@@ -101,12 +101,14 @@
 
     /// \returns whether no request is in flight or on its way here, as far as can be known: nothing
     /// of one has been received, also not by the kernel, and the connection has been idle since
-    /// \a since. A connection that lingers closes by itself once its caller has the last answer.
+    /// \a since, with all answers acknowledged. A connection that lingers closes by itself once its
+    /// caller has the last answer.
     bool isIdleSince(time_point since)
     {
         error_code ignored; // A broken connection has no input.
         return m_pending.empty() && !m_isLingering && !m_parser && m_buffer.size() == 0
-            && m_idleSince <= since && m_socket.available(ignored) == 0;
+            && m_idleSince <= since && m_socket.available(ignored) == 0
+            && !sendStatus(m_socket).hasOutstandingData;
     }
 
     void close()
@@ -116,6 +118,7 @@
         }
         m_isClosed = true;
         m_listener.m_deadlines.remove(m_deadline);
+        m_listener.m_deadlines.remove(m_peerCheck);
         dropInput();
         error_code ignored; // The connection is discarded in any case.
         m_socket.close(ignored);
@@ -139,6 +142,12 @@
     }
     /// \returns since when an answer is being written, or the latest time if none is.
     time_point writingSince() const { return m_isWriting ? m_writingSince : time_point::max(); }
+    /// \returns since when the caller has not read the answer that is being written, or the last
+    /// one of a connection that lingers; the latest time if there is none.
+    time_point deliveringSince() const
+    {
+        return m_isWriting || m_isLingering ? m_writingSince : time_point::max();
+    }
 
     /// Refuses the incomplete request, which gives way to others.
     void yieldMemory()
@@ -555,6 +564,7 @@
             answer.set(http::field::connection, "close");
         }
         m_head = headText(answer);
+        schedulePeerCheck();
         const std::array<boost::asio::const_buffer, 2> buffers{
             boost::asio::buffer(m_head),
             noBody ? boost::asio::const_buffer() : boost::asio::buffer(answer.body())};
@@ -595,7 +605,8 @@
         flush();
     }
 
-    /// Shuts down the sending side and discards further input until the caller closes or a timeout.
+    /// Shuts down the sending side and discards further input until the caller closes the
+    /// connection, or has been silent for a while after it has acknowledged all answers.
     void linger()
     {
         m_isParsingStopped = true;
@@ -611,6 +622,41 @@
         read();
     }
 
+    void schedulePeerCheck()
+    {
+        if (m_peerCheck != 0) {
+            return;
+        }
+        m_peerCheck = m_listener.m_deadlines.add(
+            mono_clock::now() + peer_silence::checkInterval, [weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->m_peerCheck = 0;
+                    self->runGuarded([&] { self->checkPeer(); });
+                }
+            });
+    }
+
+    /// Ends the connection of a caller that has not acknowledged its answers for too long. Repeated
+    /// until all of them are acknowledged.
+    void checkPeer()
+    {
+        const send_status status = sendStatus(m_socket);
+        if (m_silence.isLost(status, mono_clock::now())) {
+            ++m_listener.m_lostCallers;
+            abort();
+        } else if (m_isWriting || status.hasOutstandingData) {
+            schedulePeerCheck();
+        }
+    }
+
+    /// Resets the connection: the kernel discards what the caller has not acknowledged.
+    void abort()
+    {
+        error_code ignored; // The connection is discarded in any case.
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     void startIdleTimeout() { startTimeout(m_listener.m_limits().idleTimeout); }
 
     void startTimeout(duration span)
@@ -629,6 +675,8 @@
     {
         if (m_parser && !m_isParsingStopped) {
             rejectAndClose(408);
+        } else if (sendStatus(m_socket).hasOutstandingData) {
+            linger(); // The caller is still reading; a close could make it lose the answer.
         } else {
             close();
         }
@@ -649,6 +697,8 @@
     time_point m_writingSince{};
     time_point m_memoryDeadline{}; ///< set while the connection waits for memory
     deadline_queue::deadline_id m_deadline = 0;
+    deadline_queue::deadline_id m_peerCheck = 0; ///< set while answers may be unacknowledged
+    peer_silence m_silence;
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isWaitingForMemory = false; ///< input is left in the kernel until there is memory
@@ -836,6 +886,21 @@
     return true;
 }
 
+/// Closes the connection whose caller has been reading an answer for the longest time.
+bool http_listener::closeSlowestReader()
+{
+    const auto slowest = std::min_element(
+        m_connections.begin(), m_connections.end(),
+        [](const auto &a, const auto &b) { return a->deliveringSince() < b->deliveringSince(); });
+    if (slowest == m_connections.end()
+        || mono_clock::now() - slowWriteTime < (*slowest)->deliveringSince()) {
+        return false;
+    }
+    const auto connection = (*slowest)->shared_from_this();
+    connection->close();
+    return true;
+}
+
 bool http_listener::closeLongestStalled()
 {
     const auto it = m_readers.find(m_incoming.longestStalled(mono_clock::now()));
@@ -865,7 +930,7 @@
 {
     m_guard.run("accept", [&] {
         if (m_connections.size() >= m_account->bounds().callerConnections && !closeLongestIdle()
-            && !closeLongestStalled()) {
+            && !closeLongestStalled() && !closeSlowestReader()) {
             m_account->countRefusal();
             return; // Closes the socket: nothing has been read from it.
         }
--- a/src/Proxy/http_listener.h
+++ b/src/Proxy/http_listener.h
@@ -117,6 +117,9 @@
     /// \returns their number
     std::size_t closeIdle(time_point since);
     std::size_t connectionCount() const { return m_connections.size(); }
+    /// \returns the number of connections ended since construction because their callers no longer
+    /// acknowledged what was sent.
+    std::uint64_t lostCallerCount() const { return m_lostCallers; }
 
 private:
     friend class internal::caller_connection;
@@ -131,6 +134,7 @@
     void resumeWaiting();
     bool closeLongestIdle();
     bool closeLongestStalled();
+    bool closeSlowestReader();
 
     boost::asio::io_context &m_loop;
     deadline_queue &m_deadlines;
@@ -147,6 +151,7 @@
     std::vector<std::weak_ptr<internal::caller_connection>> m_waiting; ///< for memory
     deadline_queue::deadline_id m_memoryRetryId = 0;
     std::size_t m_pendingCount = 0; ///< requests whose answers have not been written
+    std::uint64_t m_lostCallers = 0;
 };
 
 } // namespace damaskward
--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -124,6 +124,7 @@
         m_pool.m_deadlines.remove(m_deadline);
         m_pool.m_deadlines.remove(m_connectDeadline);
         m_pool.m_deadlines.remove(m_idleDeadline);
+        m_pool.m_deadlines.remove(m_peerCheck);
         error_code ignored; // The connection is discarded in any case.
         m_socket.close(ignored);
         const auto it = m_pool.m_idle.find(m_peer);
@@ -231,9 +232,38 @@
     void startWriting()
     {
         m_sentAt = mono_clock::now();
+        m_silence = {};
+        schedulePeerCheck();
         write();
     }
 
+    /// Schedules a check of whether the peer still answers, unless the call ends before the check
+    /// could show that it does not.
+    void schedulePeerCheck()
+    {
+        const time_point now = mono_clock::now();
+        if (m_call.deadline < now + peer_silence::limit) {
+            return;
+        }
+        m_peerCheck =
+            m_pool.m_deadlines.add(now + peer_silence::checkInterval, [weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->m_peerCheck = 0;
+                    self->runGuarded([&] { self->checkPeer(); });
+                }
+            });
+    }
+
+    void checkPeer()
+    {
+        const send_status status = sendStatus(m_socket);
+        if (m_silence.isLost(status, mono_clock::now())) {
+            handleReadError(boost::asio::error::timed_out);
+        } else if (!isWritten() || status.hasOutstandingData) {
+            schedulePeerCheck(); // Later, keep-alive probes detect the loss of the peer.
+        }
+    }
+
     std::size_t bodyBytes() const { return m_call.body ? m_call.body->size() : 0; }
     bool isWritten() const { return m_writtenBytes == m_call.head.size() + bodyBytes(); }
 
@@ -445,6 +475,7 @@
         const auto done = std::move(m_callback);
         m_callback = nullptr;
         m_pool.m_deadlines.remove(m_deadline);
+        m_pool.m_deadlines.remove(m_peerCheck);
         if (keep) {
             becomeIdle(stated > 0 ? seconds(stated) - idleTimeoutMargin : defaultIdleTimeout);
         } else {
@@ -506,6 +537,8 @@
     deadline_queue::deadline_id m_deadline = 0;
     deadline_queue::deadline_id m_connectDeadline = 0;
     deadline_queue::deadline_id m_idleDeadline = 0;
+    deadline_queue::deadline_id m_peerCheck = 0; ///< set while a call may be unacknowledged
+    peer_silence m_silence;
     std::size_t m_writtenBytes = 0; ///< of the present call's head and body
     error_code m_writeError; ///< of the first write that has failed
     time_point m_sentAt{}; ///< of the present call, empty until it is sent
--- a/src/Proxy/tcp_endpoint.cpp
+++ b/src/Proxy/tcp_endpoint.cpp
@@ -1,6 +1,8 @@
 #include "tcp_endpoint.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -51,8 +53,24 @@
     set(TCP_KEEPIDLE, 1);
     set(TCP_KEEPINTVL, 1);
     set(TCP_KEEPCNT, 2);
-    constexpr int userTimeoutMillis = 3000;
-    set(TCP_USER_TIMEOUT, userTimeoutMillis);
+}
+
+send_status sendStatus(tcp::socket &socket)
+{
+    send_status status;
+    int outstanding = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &outstanding) != 0 || outstanding <= 0) {
+        return status;
+    }
+    status.hasOutstandingData = true;
+    tcp_info info{};
+    socklen_t infoBytes = sizeof info;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &infoBytes) == 0) {
+        status.unansweredSegments = static_cast<int>(info.tcpi_unacked);
+        status.unansweredProbes = info.tcpi_probes;
+        status.acknowledgedAt = mono_clock::now() - milliseconds(info.tcpi_last_ack_recv);
+    }
+    return status;
 }
 
 } // namespace damaskward
--- a/test/planned_stop_test.cpp
+++ b/test/planned_stop_test.cpp
@@ -23,9 +23,13 @@
 class caller_socket
 {
 public:
-    explicit caller_socket(const std::string &address)
-        : m_socket(m_context)
+    /// \param receiveBytes size of its receive buffer, 0 for the kernel's choice
+    explicit caller_socket(const std::string &address, int receiveBytes = 0)
+        : m_socket(m_context, tcp::v4())
     {
+        if (receiveBytes != 0) {
+            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBytes));
+        }
         m_socket.connect(tcpEndpoint(address));
     }
 
@@ -63,6 +67,7 @@
     CPPUNIT_TEST(connectionsNotYetAcceptedAreServed);
     CPPUNIT_TEST(newConnectionGetsTimeForItsRequest);
     CPPUNIT_TEST(lingeringConnectionKeepsItsAnswer);
+    CPPUNIT_TEST(connectionWithAnUnreadAnswerIsNotIdle);
     CPPUNIT_TEST(malformedRequestWaitsForTheOneBeforeIt);
     CPPUNIT_TEST(partialRequestBehindOneInFlightIsNotBegun);
     CPPUNIT_TEST(requestsBegunAreAnsweredInAnyStop);
@@ -169,6 +174,30 @@
         CPPUNIT_ASSERT_EQUAL(1, server.served.load());
     }
 
+    // Guards against the close of a kept connection whose caller has not read its answer yet: input
+    // that arrives after it makes the kernel send a reset, and the caller loses the answer.
+    void connectionWithAnUnreadAnswerIsNotIdle()
+    {
+        const std::string body(100000, 'x');
+        constexpr int receiveBytes = 4096;
+        echo_server server;
+        caller_socket caller(server.address, receiveBytes);
+        caller.send("POST /first HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                    + std::to_string(body.size()) + "\r\n\r\n" + body);
+        waitForServed(server, 1);
+        std::this_thread::sleep_for(milliseconds(50)); // The answer is in the kernel.
+        server.loop().call([&] {
+            server.listener().drain();
+            server.listener().stopAccepting();
+            server.listener().closeIdle(mono_clock::now());
+        });
+        caller.send(get("/second"));
+        std::this_thread::sleep_for(milliseconds(50));
+        const std::string received = caller.receiveAll();
+        CPPUNIT_ASSERT(contains(received, "POST /first " + body));
+        CPPUNIT_ASSERT(contains(received, "GET /second "));
+    }
+
     // Guards against the header timeout of a refused request, which closed the connection while
     // the request before it was in progress.
     void malformedRequestWaitsForTheOneBeforeIt()
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -7,6 +7,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <future>
+
 namespace damaskward {
 namespace testing {
 namespace {
@@ -52,6 +57,12 @@
     CPPUNIT_TEST(idleConnectionsHoldNoAnswer);
     CPPUNIT_TEST(callersEndlessChunkHeaderTimesOut);
     CPPUNIT_TEST(callPastItsDeadlineIsNotSent);
+    CPPUNIT_TEST(slowReaderGetsItsAnswer);
+    CPPUNIT_TEST(slowReaderOfAClosedConnectionGetsItsAnswer);
+    CPPUNIT_TEST(slowTargetGetsTheWholeRequest);
+    CPPUNIT_TEST(lostCallerIsDetectedWhileItsAnswerIsWritten);
+    CPPUNIT_TEST(lostTargetIsDetectedWhileTheRequestIsWritten);
+    CPPUNIT_TEST(slowReaderIsNotLost);
     CPPUNIT_TEST_SUITE_END();
 
     static int count(const std::string &text, const std::string &part)
@@ -64,6 +75,182 @@
         return occurrences;
     }
 
+    /// A body that no buffers of the kernel hold.
+    static constexpr std::size_t largeBodyBytes = 8U << 20U;
+    /// A caller's time budget on the users' platform within which it may begin to read.
+    static constexpr milliseconds readingPause{3800};
+    /// Time in which a lost peer is noticed: the platform's limit for lost contact, one interval of
+    /// the checks, and as much again for a busy machine.
+    static constexpr milliseconds lossBound{6000};
+
+    static caller_limits largeBodies()
+    {
+        caller_limits limits;
+        limits.bodyBytes = 2 * largeBodyBytes;
+        return limits;
+    }
+
+    /// Makes the kernel of \a socket drop all that it receives from now on, as if the network had
+    /// failed: nothing is acknowledged.
+    static void dropInput(tcp::socket &socket)
+    {
+        sock_filter dropAll[] = {{BPF_RET | BPF_K, 0, 0, 0}};
+        const sock_fprog program{1, dropAll};
+        CPPUNIT_ASSERT_EQUAL(0,
+                             ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER,
+                                          &program, sizeof program));
+    }
+
+    static void connectWithSmallWindow(tcp::socket &socket, const std::string &address)
+    {
+        socket.open(tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        socket.connect(tcpEndpoint(address));
+    }
+
+    static std::string post(const std::string &fields, std::size_t bodyBytes)
+    {
+        return "POST /x HTTP/1.1\r\nHost: a\r\n" + fields + "Content-Length: "
+            + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+    }
+
+    static std::size_t readAll(tcp::socket &socket)
+    {
+        std::string received;
+        boost::system::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(received), ended);
+        return ended == asio::error::eof ? received.size() : 0;
+    }
+
+    static std::size_t connectionsOf(echo_server &server)
+    {
+        std::size_t count = 0;
+        server.loop().call([&] { count = server.listener().connectionCount(); });
+        return count;
+    }
+
+    // Guards against the reset of a caller that begins to read late, with its answer.
+    void slowReaderGetsItsAnswer()
+    {
+        echo_server server(largeBodies());
+        asio::io_context context;
+        tcp::socket caller(context);
+        connectWithSmallWindow(caller, server.address);
+        asio::write(caller, asio::buffer(post("Connection: close\r\n", largeBodyBytes)));
+        std::this_thread::sleep_for(readingPause);
+        CPPUNIT_ASSERT(readAll(caller) > largeBodyBytes);
+    }
+
+    // Guards against a close while the kernel still holds the last answer: input that arrives after
+    // it makes the kernel send a reset, and the caller loses the answer.
+    void slowReaderOfAClosedConnectionGetsItsAnswer()
+    {
+        constexpr std::size_t bodyBytes = 200000;
+        echo_server server(largeBodies());
+        asio::io_context context;
+        tcp::socket caller(context);
+        connectWithSmallWindow(caller, server.address);
+        asio::write(caller, asio::buffer(post("Connection: close\r\n", bodyBytes)));
+        std::this_thread::sleep_for(milliseconds(1500));
+        asio::write(caller, asio::buffer(std::string("GET")));
+        std::this_thread::sleep_for(milliseconds(300));
+        CPPUNIT_ASSERT(readAll(caller) > bodyBytes);
+    }
+
+    // Guards against the reset of an upload whose target begins to read late.
+    void slowTargetGetsTheWholeRequest()
+    {
+        asio::io_context context;
+        tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        loop_thread loop;
+        outgoing_pool pool(loop.loop, loop.deadlines, loop.guard, "Id");
+        std::promise<call_result> result;
+        loop.call([&] { sendLargeCall(pool, acceptor.local_endpoint().port(), result); });
+        tcp::socket target(context);
+        acceptor.accept(target);
+        std::this_thread::sleep_for(readingPause);
+        std::string received;
+        boost::system::error_code error;
+        asio::read(target, asio::dynamic_buffer(received), asio::transfer_at_least(largeBodyBytes),
+                   error);
+        CPPUNIT_ASSERT(!error);
+        asio::write(target, asio::buffer(okAnswer("7", "done")), error);
+        CPPUNIT_ASSERT(result.get_future().get().failure == call_failure::None);
+    }
+
+    static void sendLargeCall(outgoing_pool &pool, unsigned port, std::promise<call_result> &result)
+    {
+        outgoing_call call;
+        call.connectionKey = "t";
+        call.address = "127.0.0.1:" + std::to_string(port);
+        call.head = "POST /x HTTP/1.1\r\nHost: t\r\nContent-Length: "
+            + std::to_string(largeBodyBytes) + "\r\n\r\n";
+        call.body = std::make_shared<const std::string>(largeBodyBytes, 'x');
+        call.expectedAnswerId = "7";
+        call.deadline = mono_clock::now() + seconds(20);
+        pool.send(std::move(call), [&result](call_result &&r) { result.set_value(std::move(r)); });
+    }
+
+    // Guards against an answer that is held for minutes for a caller that is gone: keep-alive
+    // probes rest while data is outstanding.
+    void lostCallerIsDetectedWhileItsAnswerIsWritten()
+    {
+        for (const milliseconds readingStops : {milliseconds(0), milliseconds(600)}) {
+            echo_server server(largeBodies());
+            asio::io_context context;
+            tcp::socket caller(context);
+            connectWithSmallWindow(caller, server.address);
+            asio::write(caller, asio::buffer(post("", largeBodyBytes)));
+            while (server.served == 0) {
+                std::this_thread::yield(); // The rest of the request may be on its way.
+            }
+            std::this_thread::sleep_for(readingStops);
+            dropInput(caller);
+            const time_point until = mono_clock::now() + lossBound;
+            while (connectionsOf(server) != 0 && mono_clock::now() < until) {
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), connectionsOf(server));
+        }
+    }
+
+    // Guards against a call that waits for its deadline although its target is gone.
+    void lostTargetIsDetectedWhileTheRequestIsWritten()
+    {
+        asio::io_context context;
+        tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        loop_thread loop;
+        outgoing_pool pool(loop.loop, loop.deadlines, loop.guard, "Id");
+        std::promise<call_result> result;
+        loop.call([&] { sendLargeCall(pool, acceptor.local_endpoint().port(), result); });
+        tcp::socket target(context);
+        acceptor.accept(target);
+        dropInput(target);
+        auto future = result.get_future();
+        CPPUNIT_ASSERT(future.wait_for(lossBound) == std::future_status::ready);
+        CPPUNIT_ASSERT(future.get().failure == call_failure::Lost);
+    }
+
+    // Guards against a verdict from one lost packet, and from silence before any data was sent.
+    void slowReaderIsNotLost()
+    {
+        const time_point start = mono_clock::now();
+        const auto at = [start](int millis) { return start + milliseconds(millis); };
+        peer_silence closedWindow;
+        // The kernel's interval has grown to 6 s; the answer to one probe was lost.
+        CPPUNIT_ASSERT(!closedWindow.isLost({true, 0, 1, at(-6000)}, at(0)));
+        CPPUNIT_ASSERT(!closedWindow.isLost({true, 0, 1, at(-6000)}, at(5900)));
+        CPPUNIT_ASSERT(!closedWindow.isLost({true, 0, 0, at(6000)}, at(6100)));
+        CPPUNIT_ASSERT(!closedWindow.isLost({true, 0, 2, at(6000)}, at(6600)));
+        CPPUNIT_ASSERT(closedWindow.isLost({true, 0, 2, at(6000)}, at(9700)));
+        peer_silence idle;
+        CPPUNIT_ASSERT(!idle.isLost({true, 1, 0, at(-10000)}, at(0)));
+        CPPUNIT_ASSERT(!idle.isLost({true, 1, 0, at(1000)}, at(3500)));
+        CPPUNIT_ASSERT(idle.isLost({true, 1, 0, at(1000)}, at(4000)));
+    }
+
     void pipelinedAnswersKeepTheirOrder()
     {
         echo_server server;
