Do not break off requests that later ones have overtaken

A VM broke off requests at which targets with several slots were at work, and answered 504 itself before the deadline.

Cause: two later answers on other connections were taken as proof that a full target had dropped a request. The call was then cancelled, and only afterwards was it found that no time was left for another.

The verdict now begins a second send beside the first, where the kind, the retry budget and the time after the pause allow it; the first good answer wins, and nothing else ends a request while a send is open. Retries ask for time after their pause. A target is paused on the verdict only if it has reported a full queue.

Before: router longRequestIsNotBrokenOff, longRequestIsAnsweredAfterItsOwnerIsLost and admission onlyFullTargetsPauseForSilence failed. After: router 25 of 25, admission 9 of 9.

--- a/src/Admission/admission_control.cpp
+++ b/src/Admission/admission_control.cpp
@@ -67,6 +67,13 @@
     return now + std::max(minServiceTime, shortest) < deadline;
 }
 
+bool admission_control::hasTimeForUsual(const service_id &service, time_point deadline,
+                                        time_point now) const
+{
+    const auto usual = toWholeMillis(m_serviceTimes.of(service, {}).meanMillis);
+    return now + std::max(minServiceTime, usual) < deadline;
+}
+
 bool admission_control::canAnswer(const target_state &target, time_point deadline,
                                   time_point now) const
 {
@@ -155,7 +162,8 @@
 {
     const silence_cause cause = m_evidence.causeOfSilence(target, sentAt);
     target_state *full = cause == silence_cause::Full ? m_targets.find(target) : nullptr;
-    if (full) {
+    // The verdict may be wrong, and a pause takes the target from all requests of this VM.
+    if (full && queueIsFull(*full)) {
         const auto profile = m_serviceTimes.of(full->record.service, target);
         const milliseconds drain = expectedWait(profile, certainLoad(*full, profile, now));
         target_pool::recordPause(*full, now + std::min(drain, maxFullPause));
--- a/src/Admission/admission_control.h
+++ b/src/Admission/admission_control.h
@@ -72,6 +72,8 @@
 
     /// \returns whether a target of \a service could answer before \a deadline if it started now.
     bool hasTimeFor(const service_id &service, time_point deadline, time_point now) const;
+    /// The same for a request that takes the mean service time.
+    bool hasTimeForUsual(const service_id &service, time_point deadline, time_point now) const;
     /// \returns false if \a target almost certainly does not answer before \a deadline.
     bool canAnswer(const target_state &target, time_point deadline, time_point now) const;
     /// Chooses a target that can answer in time, and refuses requests that yield to more urgent
@@ -102,8 +104,8 @@
     /// \returns how long a request sent to \a target now may take before its connection counts as
     /// silent; 0 if that is not known yet.
     milliseconds silenceLimit(const target_state &target, time_point now) const;
-    /// Judges why \a target has not answered a request that was sent at \a sentAt. A full target
-    /// gets no requests while it drains.
+    /// Judges why \a target has not answered a request that was sent at \a sentAt. If it has also
+    /// reported a full queue, it gets no requests while it drains.
     silence_cause judgeSilence(const std::string &target, time_point sentAt, time_point now);
 
 private:
--- a/src/Admission/silence.h
+++ b/src/Admission/silence.h
@@ -18,7 +18,7 @@
 /// Why a target has not answered a request for much longer than usual.
 enum class silence_cause {
     Slow, ///< it answers no connection, but nothing shows that it has terminated
-    Full, ///< it has answered later requests: it has dropped this one
+    Full, ///< it has answered later requests: it has probably dropped this one
     Dead, ///< it refuses connections
     CutOff ///< connections to it time out
 };
@@ -49,7 +49,7 @@
 /// \code
 /// evidence.recordAnswer("t1", sentAt, now);
 /// if (evidence.causeOfSilence("t1", otherSentAt) == silence_cause::Full)
-///     abandon();
+///     sendAgain();
 /// \endcode
 class connection_evidence
 {
--- a/src/Proxy/request_flow.cpp
+++ b/src/Proxy/request_flow.cpp
@@ -112,12 +112,14 @@
 
 void request_flow::tryAdvance()
 {
-    if (m_isDone || m_isSending) {
+    if (m_isDone || m_isSending || m_endReason) {
         return;
     }
     const time_point now = mono_clock::now();
     if (!hasTimeAt(now)) {
-        timeOut("no time left");
+        if (!awaitSilentSends("no time left")) {
+            timeOut("no time left");
+        }
         return;
     }
     if (!admitToOwner(now) || !spendTeamToken(now)) {
@@ -485,10 +487,11 @@
     call.freshOnly = !mayRepeat(m_route->kind);
     // A refusal that the target repeats has the same id as the answer to the retry.
     call.needsNewConnection = !mayRepeat(m_route->kind) && m_refusedBy.count(m_target) != 0;
-    m_call =
-        m_router.m_pool.send(std::move(call), [self = shared_from_this()](call_result &&result) {
+    const std::uint64_t number = ++m_sendNumber;
+    m_call = m_router.m_pool.send(
+        std::move(call), [self = shared_from_this(), number](call_result &&result) {
             const bool mayHaveRun = !neverSent(result.failure);
-            self->runStep([&] { self->handleResult(std::move(result)); }, mayHaveRun);
+            self->runStep([&] { self->handleCallResult(number, std::move(result)); }, mayHaveRun);
         });
     if (silenceLimit.count() > 0) {
         scheduleSilenceCheck(now + silenceLimit);
@@ -508,8 +511,9 @@
     });
 }
 
-/// Abandons a connection on which a full target is silent, if the request may be repeated. Any
-/// other request keeps waiting, since its answer may still come.
+/// Sends the request a second time if its target seems to have dropped it and it may run twice. The
+/// first send goes on: later answers on other connections also overtake a long request on a target
+/// with several slots, and a request that a target works on must not be broken off.
 void request_flow::checkSilence()
 {
     if (m_isDone || !m_isSending) {
@@ -518,22 +522,88 @@
     const time_point now = mono_clock::now();
     const silence_cause cause = m_router.m_admission.judgeSilence(m_target, m_sentAt, now);
     m_router.m_metrics.count(std::string("tries_") + nameOf(cause));
-    constexpr int thisTry = 1;
     if (cause != silence_cause::Full) {
         scheduleSilenceCheck(now + (now - m_sentAt) / 2); // Later answers may show the cause.
         return;
     }
-    if (!acquireRetry(now, thisTry)) {
+    if (!acquireSecondSend(now)) {
         return;
     }
-    const bool maySent = m_call.cancel();
+    logTry("silent", now);
+    m_silentSends.push_back({m_sendNumber, m_target, m_sentAt, std::move(m_call)});
+    m_call = {};
     releaseInFlight();
-    m_mayHaveRun = m_mayHaveRun || maySent;
-    m_executions += maySent ? 1 : 0;
-    logTry("abandoned", now);
+    m_mayHaveRun = true;
+    ++m_executions;
     retry(now);
 }
 
+/// Leaves the answer to the silent sends, if there are any. The request then ends with the answer
+/// of one of them, when all have failed, or at its deadline.
+/// \param reason why nothing more is sent
+/// \returns whether there are any
+bool request_flow::awaitSilentSends(const char *reason)
+{
+    if (m_silentSends.empty()) {
+        return false;
+    }
+    m_endReason = reason;
+    m_router.m_deadlines.remove(m_wakeUpId);
+    releaseCapacity(capacity_outcome::Unused);
+    return true;
+}
+
+void request_flow::handleCallResult(std::uint64_t number, call_result &&result)
+{
+    if (number == m_sendNumber && m_isSending) {
+        handleResult(std::move(result));
+    } else {
+        handleSilentResult(number, std::move(result));
+    }
+}
+
+/// Ends the request with the answer to a silent send, unless it is a failure that another send may
+/// still make good.
+void request_flow::handleSilentResult(std::uint64_t number, call_result &&result)
+{
+    const auto it = std::find_if(m_silentSends.begin(), m_silentSends.end(),
+                                 [number](const auto &send) { return send.number == number; });
+    if (m_isDone || it == m_silentSends.end()) {
+        return;
+    }
+    const time_point now = mono_clock::now();
+    const std::string targetName = std::move(it->target);
+    const time_point sentAt = it->sentAt;
+    m_silentSends.erase(it);
+    const bool isAnswered = result.failure == call_failure::None;
+    target_state *target = m_router.m_targets.find(targetName);
+    if (isAnswered && target) {
+        m_router.m_targets.recordAnswer(*target);
+        m_router.m_admission.evidence().recordAnswer(targetName, sentAt, now);
+        applyLoadHeaders(*target, result.answer, now);
+    }
+    const bool isGenuine =
+        isAnswered && result.answer.count(beastView(m_router.m_names.targetProof)) != 0;
+    const bool isRefused = isAnswered
+        && (result.answer.count(beastView(m_router.m_names.notRun)) != 0
+            || result.answer.result() == http::status::misdirected_request);
+    if (isGenuine && !isRefused && result.answer.result_int() < firstServerError) {
+        m_call.cancel();
+        releaseInFlight();
+        m_target = targetName;
+        m_sentAt = sentAt;
+        logTry("answered late", now);
+        forwardAnswer(std::move(result.answer), "answered");
+        return;
+    }
+    if (isGenuine && !isRefused && !m_fallback) {
+        m_fallback = std::move(result.answer);
+    }
+    if (m_endReason && m_silentSends.empty()) {
+        fail(m_endReason);
+    }
+}
+
 void request_flow::handleResult(call_result &&result)
 {
     m_isSending = false;
@@ -585,10 +655,17 @@
         fail("target did not state that the request has not run");
         return;
     }
-    if (status >= firstServerError && mayRepeat(m_route->kind) && acquireRetry(now)) {
-        m_fallback = std::move(result.answer);
-        retry(now);
-        return;
+    if (status >= firstServerError && mayRepeat(m_route->kind)) {
+        const bool repeats = acquireRetry(now);
+        if (repeats || !m_silentSends.empty()) {
+            m_fallback = std::move(result.answer);
+            if (repeats) {
+                retry(now);
+            } else {
+                fail("answered");
+            }
+            return;
+        }
     }
     forwardAnswer(std::move(result.answer), "answered");
 }
@@ -721,11 +798,31 @@
     retryOrFail("no answer", now);
 }
 
-/// \param unanswered sends in addition to m_executions that a target may have run
-bool request_flow::acquireRetry(time_point now, int unanswered)
+/// \returns the time until the request can be sent once more.
+milliseconds request_flow::retryPause(time_point now) const
+{
+    if (!m_key) {
+        return milliseconds(0); // Another target may run it.
+    }
+    const target_state *owner = m_router.m_targets.find(m_target);
+    return std::max<milliseconds>(ownerRetryDelay / 2,
+                                  owner ? target_pool::pauseLeft(*owner, now) : milliseconds(0));
+}
+
+bool request_flow::acquireRetry(time_point now)
 {
-    return mayRepeat(m_route->kind) && m_executions + unanswered < m_route->maxAttempts
-        && hasTimeAt(now) && m_router.retryBudgetOf(m_service).trySpend();
+    return mayRepeat(m_route->kind) && m_executions < m_route->maxAttempts
+        && hasTimeAt(now + retryPause(now)) && m_router.retryBudgetOf(m_service).trySpend();
+}
+
+/// The same for a send beside one that is not answered. It is of no use unless it is answered
+/// first, so there has to be time for a request of usual length.
+bool request_flow::acquireSecondSend(time_point now)
+{
+    constexpr int thisSend = 1;
+    return mayRepeat(m_route->kind) && m_executions + thisSend < m_route->maxAttempts
+        && m_router.m_admission.hasTimeForUsual(m_service, m_deadline, now + retryPause(now))
+        && m_router.retryBudgetOf(m_service).trySpend();
 }
 
 void request_flow::retryOrFail(const char *reason, time_point now)
@@ -741,7 +838,7 @@
 {
     m_tried.insert(m_target);
     if (m_key) {
-        waitForChange(now + ownerRetryDelay / 2); // Only the owner can run it.
+        waitForChange(now + retryPause(now)); // Only the owner can run it.
     } else {
         advance();
     }
@@ -790,10 +887,14 @@
     }
 }
 
-/// Ends the request without another retry: forwards a target's last failure if there is one,
-/// answers 502 if a target may have run the request, and refuses it otherwise.
+/// Ends the request without another retry, once all sends have ended: forwards a target's last
+/// failure if there is one, answers 502 if a target may have run the request, and refuses it
+/// otherwise.
 void request_flow::fail(const char *reason)
 {
+    if (awaitSilentSends(reason)) {
+        return;
+    }
     if (m_fallback) {
         forwardAnswer(std::move(*m_fallback), reason);
     } else if (m_mayHaveRun) {
@@ -846,6 +947,10 @@
 void request_flow::markDone()
 {
     m_isDone = true;
+    for (silent_send &send : m_silentSends) {
+        send.call.cancel();
+    }
+    m_silentSends.clear();
     releaseCapacity(capacity_outcome::Unused);
     m_router.m_deadlines.remove(m_deadlineId);
     m_router.m_deadlines.remove(m_wakeUpId);
--- a/src/Proxy/request_flow.h
+++ b/src/Proxy/request_flow.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace damaskward {
 namespace internal {
@@ -70,6 +71,9 @@
     void send(target_state &target, time_point now);
     void scheduleSilenceCheck(time_point at);
     void checkSilence();
+    bool awaitSilentSends(const char *reason);
+    void handleCallResult(std::uint64_t number, call_result &&result);
+    void handleSilentResult(std::uint64_t number, call_result &&result);
     void handleResult(call_result &&result);
     void recordVersionAnswer(std::optional<duration> answeredIn);
     void recordServiceTime(const target_state *target, time_point now);
@@ -77,7 +81,9 @@
     void applyAvailabilityHeaders(target_state &target, const http_answer &answer, time_point now);
     void handleNotRun(unsigned status, target_state *target, time_point now);
     void handleSendFailure(call_failure failure, target_state *target, time_point now);
-    bool acquireRetry(time_point now, int unanswered = 0);
+    milliseconds retryPause(time_point now) const;
+    bool acquireRetry(time_point now);
+    bool acquireSecondSend(time_point now);
     void retryOrFail(const char *reason, time_point now);
     void retry(time_point now);
     void callerDisconnected();
@@ -126,6 +132,18 @@
     };
     held_capacity m_capacity;
     call_handle m_call;
+    std::uint64_t m_sendNumber = 0; ///< of the last send
+    /// A send that has not been answered for much longer than usual. It goes on beside later ones.
+    struct silent_send
+    {
+        std::uint64_t number = 0;
+        std::string target;
+        time_point sentAt{};
+        call_handle call;
+    };
+    std::vector<silent_send> m_silentSends;
+    /// Why nothing more is sent while silent sends may still be answered; null if something is.
+    const char *m_endReason = nullptr;
     std::optional<http_answer> m_fallback; ///< a target's error answer, used if no retry succeeds
     int m_executions = 0; ///< sends that a target ran or may have run
     int m_rejections = 0; ///< answers of targets that did not run the request
--- a/test/admission_test.cpp
+++ b/test/admission_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(refusedCallersReturnInTime);
     CPPUNIT_TEST(refusalCountersHaveValidNames);
     CPPUNIT_TEST(silenceIsJudgedByOtherConnections);
+    CPPUNIT_TEST(onlyFullTargetsPauseForSilence);
     CPPUNIT_TEST_SUITE_END();
 
     // All targets are full, and requests of three priorities arrive. Guards against less urgent
@@ -234,6 +235,23 @@
         evidence.recordNoConnection("t", true, at(950));
         CPPUNIT_ASSERT(evidence.causeOfSilence("t", at(850)) == silence_cause::Dead);
     }
+
+    // A long request is overtaken on a target with room in its queue. Guards against a pause that
+    // takes a sound target from all requests of the VM.
+    void onlyFullTargetsPauseForSilence()
+    {
+        for (const bool isFull : {false, true}) {
+            admission_fixture f(1);
+            f.measureServiceTimes();
+            const time_point now = start + milliseconds(900);
+            f.admission.evidence().recordAnswer("t0", start + milliseconds(100), now);
+            f.admission.evidence().recordAnswer("t0", start + milliseconds(200), now);
+            f.reportAll(2, isFull ? 2 : 1, now);
+            CPPUNIT_ASSERT(f.admission.judgeSilence("t0", start, now) == silence_cause::Full);
+            CPPUNIT_ASSERT_EQUAL(isFull,
+                                 target_pool::pauseLeft(*f.pool.find("t0"), now).count() > 0);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(admission_test, "admission");
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -294,6 +294,8 @@
     CPPUNIT_TEST(urgentRequestsGetTheLastPlaces);
     CPPUNIT_TEST(infeasibleRequestsAreNotSent);
     CPPUNIT_TEST(droppedRequestIsRepeatedOnlyIfAllowed);
+    CPPUNIT_TEST(longRequestIsNotBrokenOff);
+    CPPUNIT_TEST(longRequestIsAnsweredAfterItsOwnerIsLost);
     CPPUNIT_TEST(requestGoesWhereCapacityIsGranted);
     CPPUNIT_TEST(rejectedRequestReturnsItsCapacity);
     CPPUNIT_TEST(requestWithoutCapacityIsRefused);
@@ -554,6 +556,84 @@
         }
     }
 
+    /// An owner of all keys that answers at once, but leaves requests with the field `Work` to the
+    /// test.
+    struct long_requests
+    {
+        std::vector<std::shared_ptr<http_exchange>> exchanges; ///< of requests with the field
+        int brokenOff = 0;
+
+        explicit long_requests(router_fixture &f)
+        {
+            f.addTarget("t", "keyed", [this](const std::shared_ptr<http_exchange> &exchange) {
+                if (exchange->request().count("Work") == 0) {
+                    answerOk(exchange);
+                    return;
+                }
+                exchanges.push_back(exchange);
+                exchange->onDisconnect([this] { ++brokenOff; });
+            });
+            constexpr int measured = 250; // Enough to know the usual service time.
+            for (int i = 0; i < measured; ++i) {
+                CPPUNIT_ASSERT_EQUAL(200U, f.request("keyed").result_int());
+            }
+        }
+        /// Begins a long request, and has later ones overtake it.
+        void begin(router_fixture &f, std::optional<call_result> &answered)
+        {
+            f.begin("keyed", "GET", "Remaining-Ms: 2500\r\nWork: long\r\n", answered);
+            while (exchanges.empty()) {
+                f.runFor(milliseconds(5));
+            }
+            for (int i = 0; i < 3; ++i) {
+                CPPUNIT_ASSERT_EQUAL(200U, f.request("keyed").result_int());
+            }
+        }
+    };
+
+    // A long request on a target with several slots is overtaken by later ones. Guards against a
+    // run that is broken off because its request seems to have been dropped.
+    void longRequestIsNotBrokenOff()
+    {
+        router_fixture f;
+        long_requests requests(f);
+        std::optional<call_result> answered;
+        requests.begin(f, answered);
+        while (requests.exchanges.size() < 2 && !answered) {
+            f.runFor(milliseconds(5));
+        }
+        CPPUNIT_ASSERT(!answered);
+        CPPUNIT_ASSERT_EQUAL(0, requests.brokenOff);
+        answerOk(requests.exchanges[0]);
+        while (!answered) {
+            f.runFor(milliseconds(5));
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, answered->answer.result_int());
+        while (requests.brokenOff == 0) {
+            f.runFor(milliseconds(5)); // The other run is of no use now.
+        }
+    }
+
+    // Guards against an answer of the VM's own while the first target is at work, because nothing
+    // can be sent a second time.
+    void longRequestIsAnsweredAfterItsOwnerIsLost()
+    {
+        router_fixture f;
+        long_requests requests(f);
+        std::optional<call_result> answered;
+        requests.begin(f, answered);
+        f.setOwner("gone");
+        f.runFor(milliseconds(1600)); // Longer than a request waits for an owner.
+        CPPUNIT_ASSERT(!answered);
+        CPPUNIT_ASSERT_EQUAL(0, requests.brokenOff);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), requests.exchanges.size());
+        answerOk(requests.exchanges[0]);
+        while (!answered) {
+            f.runFor(milliseconds(5));
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, answered->answer.result_int());
+    }
+
     void malformedPausesAreIgnored()
     {
         for (const char *text : {"", "-1", "soon", "1s", "1.2.3", ".", "inf", "nan", "1e3", "0x10",
