Bound the age of every VM's registry by the operators' drain time

VMs sent requests to a target for over 2 s after it had begun to drain, because they followed a store reader that was cut off from the store.

Cause: the waits until another VM reads add up to 2.5 s and more: 1.3 s of trust in the reader, a heartbeat, a tick, 0.5 s for each VM with a higher rank.

Each VM now knows when the read began that its copy comes from, and reads the store itself when the copy is half of the drain time old, in groups that double every sixteenth of it. The grace period of a draining owner ends with the bound, not a fixed time after this VM has learned of the drain. The reader reads every 0.75 s exactly, as it did on average.

--- a/src/Fleet/heartbeat.h
+++ b/src/Fleet/heartbeat.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "../Core/time.h"
 #include "../Table/table_position.h"
 #include "capacity_rating.h"
 
@@ -14,6 +15,13 @@
 
 namespace damaskward {
 
+/// \returns an age as a time span. Ages beyond an hour, which no VM reports, count as an hour.
+inline milliseconds boundedAge(std::int64_t millis)
+{
+    constexpr std::int64_t maxAgeMillis = 3600000;
+    return milliseconds(std::clamp<std::int64_t>(millis, 0, maxAgeMillis));
+}
+
 /// Unanswered requests of one VM or of several VMs at one target.
 struct target_requests
 {
@@ -67,6 +75,7 @@
     std::uint64_t registryVersion = 0; ///< version of the targets, see registry_delta
     table_position operatorPosition; ///< position up to which it knows the operators' rows
     std::vector<std::string> drainedDataCenters; ///< data centres that operators have drained
+    std::int64_t registryAgeMillis = 0; ///< time since it began its last read, if readsStore
 };
 
 /// What identifies one VM and decides which roles it may have.
--- a/src/Fleet/membership.cpp
+++ b/src/Fleet/membership.cpp
@@ -265,20 +265,27 @@
     return highestRanked(candidatesIn(dc, now), role, dc == m_dataCenter);
 }
 
-const member *membership::storeReader(std::string_view role, milliseconds maxAge,
-                                      time_point now) const
+const member *membership::storeReader(std::string_view role, milliseconds maxSilence,
+                                      milliseconds maxReadAge, time_point now) const
 {
     const std::uint64_t hash = keyHash(role);
     const member *best = nullptr;
     for (const member *peer : candidatesIn(m_dataCenter, now)) {
-        if (peer->lastHeartbeat.readsStore && now < peer->stateAt + maxAge
-            && (!best || rankOf(*best, hash) < rankOf(*peer, hash))) {
+        const time_point readAt = peer->stateAt - boundedAge(peer->lastHeartbeat.registryAgeMillis);
+        if (peer->lastHeartbeat.readsStore && now < peer->stateAt + maxSilence
+            && now < readAt + maxReadAge && (!best || rankOf(*best, hash) < rankOf(*peer, hash))) {
             best = peer;
         }
     }
     return best;
 }
 
+bool membership::ranksBefore(const member &peer, std::string_view role) const
+{
+    const std::uint64_t hash = keyHash(role);
+    return rankOf(peer, hash) > rank(m_rating.roleClass, combineHash(hash, m_selfHash));
+}
+
 std::vector<const member *> membership::rankedIn(std::string_view dc, std::string_view role,
                                                  time_point now) const
 {
--- a/src/Fleet/membership.h
+++ b/src/Fleet/membership.h
@@ -130,10 +130,15 @@
     const std::string &roleHolderIn(std::string_view dc, std::string_view role,
                                     time_point now) const;
 
-    /// \param maxAge VMs whose last heartbeat is older are ignored
+    /// \param maxSilence VMs whose last heartbeat is older are ignored
+    /// \param maxReadAge VMs whose last read of the store is older are ignored
     /// \returns the active store reader of this data centre, or null. If there are several, the one
     /// with the highest rank for \a role.
-    const member *storeReader(std::string_view role, milliseconds maxAge, time_point now) const;
+    const member *storeReader(std::string_view role, milliseconds maxSilence,
+                              milliseconds maxReadAge, time_point now) const;
+
+    /// \returns whether \a peer ranks before this VM for \a role.
+    bool ranksBefore(const member &peer, std::string_view role) const;
 
     /// \returns the live VMs of data centre \a dc other than this one, by descending rank for
     /// \a role. VMs that shut down are left out.
--- a/src/Fleet/registry_replica.h
+++ b/src/Fleet/registry_replica.h
@@ -20,6 +20,7 @@
     std::uint64_t version = 0;
     std::vector<target_record> changed;
     std::vector<removed_target> removed;
+    std::int64_t ageMillis = 0; ///< time since the read of the store, when it is sent
 };
 
 /// \class registry_replica
--- a/src/Fleet/roster.cpp
+++ b/src/Fleet/roster.cpp
@@ -16,12 +16,6 @@
             beat.coordinatorVersion != 0};
 }
 
-milliseconds boundedAge(std::int64_t millis)
-{
-    constexpr std::int64_t maxAgeMillis = 3600000;
-    return milliseconds(std::clamp<std::int64_t>(millis, 0, maxAgeMillis));
-}
-
 namespace {
 
 bool differs(const vm_identity &a, const heartbeat &b)
--- a/src/Fleet/roster.h
+++ b/src/Fleet/roster.h
@@ -19,9 +19,6 @@
 /// \returns the identity of the VM that sent \a beat.
 vm_identity identityOf(const heartbeat &beat);
 
-/// \returns an age as a time span. Ages beyond an hour, which no VM reports, count as an hour.
-milliseconds boundedAge(std::int64_t millis);
-
 /// \class roster
 /// \brief A relay's numbered list of VMs. Recipients that know a version get only what has changed
 /// since. Without I/O; not thread-safe.
--- a/src/Fleet/target_pool.cpp
+++ b/src/Fleet/target_pool.cpp
@@ -38,6 +38,11 @@
 /// downloads, their whole latency objective.
 constexpr double remotePenaltyMillis = 15.0;
 constexpr double remoteDownloadPenaltyMillis = 400.0;
+/// A draining owner still gets requests for its keys until they have a new owner, but for at most
+/// this long: half of the platform's usual limit.
+constexpr milliseconds drainGrace{1000};
+/// The last request is sent this long before the operators' bound, since it has to arrive in time.
+constexpr milliseconds drainMargin{250};
 
 } // namespace
 
@@ -117,12 +122,17 @@
 
 void target_pool::updateDrainingSince(target_state &t, time_point now) const
 {
-    const bool isDraining = !t.isRegistered || t.record.draining || t.hasAnnouncedDrain
-        || m_drainedDataCenters.count(t.record.dataCenter) != 0;
-    if (!isDraining) {
+    const bool isLeaving = !t.isRegistered || t.record.draining || t.hasAnnouncedDrain;
+    if (!isLeaving && m_drainedDataCenters.count(t.record.dataCenter) == 0) {
         t.drainingSince = time_point{};
     } else if (t.drainingSince == time_point{}) {
         t.drainingSince = now;
+        t.ownedWorkUntil = now + drainGrace;
+        if (isLeaving && m_registryReadAt != time_point{}) {
+            // The store may have known it since just after the previous read.
+            t.ownedWorkUntil =
+                std::min(t.ownedWorkUntil, m_registryReadAt + m_drainTime - drainMargin);
+        }
     }
 }
 
--- a/src/Fleet/target_pool.h
+++ b/src/Fleet/target_pool.h
@@ -7,6 +7,7 @@
 #include "../Core/time.h"
 #include "deployment.h"
 #include "heartbeat.h"
+#include "vm_environment.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -62,6 +63,7 @@
     bool hasAnnouncedDrain = false; ///< an answer said so; holds whatever its record says
     time_point pausedUntil{}; ///< it has asked this VM for no requests before this point
     time_point drainingSince{}; ///< since then it takes no new work, but may finish what it owns
+    time_point ownedWorkUntil{}; ///< while draining, it gets requests for its keys until then
     bool isRegistered = true; ///< its record is in the newest version of the registry
     int inFlight = 0; ///< requests of this VM that it has not answered
     int peerInFlight = 0; ///< the same of the other VMs, from their last heartbeats
@@ -108,8 +110,10 @@
 {
 public:
     /// \param local this VM's data centre; its targets are preferred
-    explicit target_pool(data_center_id local)
+    /// \param drainTime the operators' bound on new work for a draining target
+    explicit target_pool(data_center_id local, milliseconds drainTime = fleet_bounds().drainTime)
         : m_localDataCenter(std::move(local))
+        , m_drainTime(drainTime)
     { }
 
     /// Applies a configuration. Targets whose service it does not name count as unregistered, and
@@ -129,6 +133,8 @@
 
     /// Applies one record of the registry.
     void applyRecord(const target_record &record, time_point now);
+    /// Sets when the store was asked for the records that have been applied.
+    void setRegistryReadAt(time_point at) { m_registryReadAt = at; }
     /// Marks a target as unregistered, after its record has been removed from the registry.
     void remove(const removed_target &target, time_point now);
 
@@ -235,6 +241,8 @@
     milliseconds warmupOf(const service_id &service) const;
 
     data_center_id m_localDataCenter;
+    milliseconds m_drainTime;
+    time_point m_registryReadAt{}; ///< empty before the first read
     std::map<std::string, target_state, std::less<>> m_targets;
     std::map<std::string, target_record> m_setAside; ///< records that name no known service
     std::map<service_id, milliseconds> m_warmup; ///< by service of the configuration
--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds logFlushInterval{200};
 /// Interval of registry reads. A draining target accepts new work for two seconds only, so the
 /// interval stays well below that.
-constexpr milliseconds registryReadInterval{700};
+constexpr milliseconds registryReadInterval{750};
 constexpr milliseconds minRetryBackoff{250};
 constexpr milliseconds maxRetryBackoff{2000};
 /// Takeover delay per rank when a data centre has no store reader. It covers one read and the
@@ -54,10 +54,8 @@
 constexpr const char *storeReaderRole = heartbeat_exchange::relayRole;
 /// A store reader is no longer followed after this time without a heartbeat: three heartbeats.
 constexpr milliseconds readerTimeout{700};
-/// A store reader without a successful read for this long reports this in its heartbeats. Covers
-/// one read interval and a slow answer, and leaves the other VMs time to learn of a draining target
-/// within two seconds.
-constexpr milliseconds readerMaxAge{1300};
+/// The operators' rows of a store reader are outdated this long after the end of a long poll.
+constexpr milliseconds operatorRowsMargin{1300};
 
 /// Fraction of a team's tolerated overshoot that a new token bucket contains at its start. Within
 /// one window the bucket may move to another VM and back, which uses two thirds; the last third is
@@ -98,7 +96,7 @@
     , m_memoryReport(*m_account, m_metrics, m_log)
     , m_pool(loop, m_deadlines, m_guard, requestIdField, m_account->bounds().answerBytes, m_account)
     , m_platform(makePort(m_pool))
-    , m_targets(m_environment.dataCenter)
+    , m_targets(m_environment.dataCenter, m_environment.bounds.drainTime)
     , m_warmupProbe(m_targets)
     , m_membership(m_environment.name.str(), m_environment.dataCenter.str(),
                    rateCapacity(m_environment.capacity))
@@ -188,6 +186,7 @@
     , m_operators(m_platform, m_guard, m_log, operatorEvents())
     , m_registration(m_environment.name.str())
     , m_registryReplica(m_environment.name.str(), static_cast<std::uint64_t>(m_incarnation))
+    , m_registryAge(m_environment.bounds.drainTime)
 {
     start();
 }
@@ -294,6 +293,7 @@
     beat.rating = m_membership.rating();
     beat.inFlight = m_targets.ownInFlight();
     beat.readsStore = hasRecentReads(now);
+    beat.registryAgeMillis = beat.readsStore ? toMillis(now - m_targetsReadAt) : 0;
     beat.registryVersion = m_registryReplica.version();
     beat.operatorPosition = m_operators.view().position();
     for (const data_center_id &dc : m_operators.view().drained(now)) {
@@ -430,7 +430,7 @@
     for (const relayed_heartbeat &relayed : update.relayed) {
         learnStoreEra(relayed.beat.storeEra, now);
         noteMapVersion(relayed.beat);
-        syncWithReader(relayed.beat, now);
+        syncWithReader(relayed.beat, now - boundedAge(relayed.ageMillis), now);
     }
     for (const center_state &center : update.centers) {
         if (center.name != m_environment.dataCenter.str()) {
@@ -455,7 +455,7 @@
     if (beat.configVersion > configVersion()) {
         fetchConfig(fromIp);
     }
-    syncWithReader(beat, now);
+    syncWithReader(beat, now, now);
 }
 
 void node::sendDemand(time_point now)
@@ -712,8 +712,8 @@
 /// may be missing from a store that was away or restored.
 bool node::hasRecentReads(time_point now) const
 {
-    return m_targetsUpdatedAt >= m_recoveringUntil && now < m_targetsUpdatedAt + readerMaxAge
-        && now < m_operators.updatedAt() + operator_follower::pollTimeout + readerMaxAge;
+    return m_targetsReadAt >= m_recoveringUntil && now < m_targetsReadAt + m_registryAge.maxAge()
+        && now < m_operators.updatedAt() + operator_follower::pollTimeout + operatorRowsMargin;
 }
 
 /// \returns the store reader whose data this VM uses, or null if there is none or this VM is the
@@ -721,26 +721,41 @@
 const member *node::followedReader(time_point now) const
 {
     const bool ownReadsFail = m_storeBackoff.count() > 0;
-    return isStoreReader(now) && !ownReadsFail
-        ? nullptr
-        : m_membership.storeReader(storeReaderRole, readerTimeout, now);
+    if (isStoreReader(now) && !ownReadsFail) {
+        return nullptr;
+    }
+    const member *reader =
+        m_membership.storeReader(storeReaderRole, readerTimeout, m_registryAge.maxAge(), now);
+    // Two VMs that have taken over must not wait for each other.
+    const bool isReader = hasRecentReads(now) && !ownReadsFail;
+    return reader && isReader && !m_membership.ranksBefore(*reader, storeReaderRole) ? nullptr
+                                                                                     : reader;
 }
 
 /// \returns whether this VM reads the store itself now. Without a store reader the VMs of the data
 /// centre try one after the other, since the reader may have failed or may be the only VM that the
-/// store refuses.
+/// store refuses. They do not wait longer than the age of the registry allows, whatever the store
+/// reader says.
 bool node::shouldReadStore(time_point now)
 {
-    if (followedReader(now)) {
+    const bool hasReader = followedReader(now) != nullptr;
+    if (hasReader) {
         m_readerMissingSince = time_point{};
-        return false;
-    }
-    if (m_readerMissingSince == time_point{}) {
+    } else if (m_readerMissingSince == time_point{}) {
         m_readerMissingSince = now;
     }
     if (now < m_storeRetryAt) {
         return false;
     }
+    // Records may be missing until then, and no target counts on having been seen.
+    const bool isRecovering = now < m_recoveringUntil;
+    if (!isRecovering
+        && now >= m_registryAge.readsItselfAt(m_membership.rankWithin(storeReaderRole, now))) {
+        return true;
+    }
+    if (hasReader) {
+        return false;
+    }
     const bool lacksData = !m_router.config() || m_targets.all().empty();
     if (lacksData && !m_environment.firstStart) {
         return true; // Callers may already be waiting for an answer.
@@ -751,7 +766,9 @@
     return !mayBeOnlyVm && now >= m_readerMissingSince + rank * readerTakeoverDelay;
 }
 
-void node::syncWithReader(const heartbeat &beat, time_point now)
+/// Gets what a store reader has in a newer version.
+/// \param heardAt when its heartbeat was received, here or by a relay
+void node::syncWithReader(const heartbeat &beat, time_point heardAt, time_point now)
 {
     if (!beat.readsStore) {
         return;
@@ -769,11 +786,20 @@
     if (m_operators.view().applyReaderState(std::move(drained), beat.operatorPosition)) {
         applyDrainedDataCenters(now);
     }
-    if (!m_registryReplica.hasVersion(beat.name, beat.registryVersion)) {
+    if (m_registryReplica.hasVersion(beat.name, beat.registryVersion)) {
+        recordRegistryRead(heardAt - boundedAge(beat.registryAgeMillis));
+    } else {
         fetchRegistry(beat.ip);
     }
 }
 
+/// Records that this VM has what the store contained at \a at.
+void node::recordRegistryRead(time_point at)
+{
+    m_registryAge.recordRead(at);
+    m_targets.setRegistryReadAt(m_registryAge.readAt());
+}
+
 void node::applyRegistryDelta(const registry_delta &delta)
 {
     const time_point now = mono_clock::now();
@@ -787,8 +813,6 @@
     }
     if (delta.base == 0) {
         m_targets.applyRegistry(m_registryReplica.records(), now);
-        m_rollouts.noteTargets(m_targets, now);
-        return;
     }
     for (const target_record &record : delta.changed) {
         m_targets.applyRecord(record, now);
@@ -797,6 +821,10 @@
         m_targets.remove(target, now);
     }
     m_rollouts.noteTargets(m_targets, now);
+    if (m_registryReplica.hasVersion(delta.reader, delta.version)) {
+        recordRegistryRead(now
+                           - boundedAge(delta.ageMillis)); // The records refer to the one before.
+    }
 }
 
 void node::fetchRegistry(const std::string &ip)
@@ -814,10 +842,23 @@
     });
 }
 
+/// Schedules the next storeTick(), in time for the next read of the registry.
+void node::scheduleStoreTick()
+{
+    const time_point now = mono_clock::now();
+    time_point next = now + minRetryBackoff;
+    for (const time_point due :
+         {m_targetsRequestedAt + registryReadInterval,
+          m_registryAge.readsItselfAt(m_membership.rankWithin(storeReaderRole, now))}) {
+        next = due > now ? std::min(next, due) : next;
+    }
+    scheduleAfter(next - now, [this] { storeTick(); });
+}
+
 /// Periodically starts the calls of the store that no other VM makes for this one.
 void node::storeTick()
 {
-    scheduleAfter(minRetryBackoff, [this] { storeTick(); });
+    scheduleStoreTick();
     const time_point now = mono_clock::now();
     m_guard.run("registration", [this] { registerSelf(); });
     if (shouldReadStore(now)) {
@@ -907,15 +948,20 @@
 void node::readTargets()
 {
     m_readingTargets = true;
-    m_targetsRequestedAt = mono_clock::now();
-    m_platform.store.read(m_platform.targetTable, "", [this](row_result &&result) {
+    const time_point startedAt = mono_clock::now();
+    m_targetsRequestedAt = startedAt;
+    m_platform.store.read(m_platform.targetTable, "", [this, startedAt](row_result &&result) {
         m_readingTargets = false;
         const auto *rows = std::get_if<row_set>(&result);
         handleStoreAnswer(rows != nullptr, mono_clock::now());
         if (rows) {
             learnStoreEra(rows->era, mono_clock::now());
-            m_targetsUpdatedAt = mono_clock::now();
+            const bool isTakeover = !hasRecentReads(mono_clock::now());
+            m_targetsReadAt = startedAt;
             applyTargets(*rows);
+            if (isTakeover && hasRecentReads(mono_clock::now())) {
+                m_exchange.sendHeartbeats(mono_clock::now()); // Saves the other VMs their reads.
+            }
         }
     });
 }
@@ -937,8 +983,9 @@
     records = withoutOutdated(records, m_targets);
     const bool isRecovering = now < m_recoveringUntil;
     // Must precede the addition of remembered records below, which may be outdated.
-    const auto delta = m_registryReplica.applyRecords(records);
+    auto delta = m_registryReplica.applyRecords(records);
     if (delta && delta->base != 0 && !isRecovering) {
+        delta->ageMillis = toMillis(now - m_targetsReadAt);
         sendToDataCenter(*delta); // Other VMs fetch a full version once a heartbeat announces it.
     }
     if (isRecovering) {
@@ -946,6 +993,7 @@
     }
     m_targets.applyRegistry(records, now);
     m_rollouts.noteTargets(m_targets, now);
+    recordRegistryRead(m_targetsReadAt);
 }
 
 /// Writes this VM's own row if it is due.
@@ -1006,6 +1054,13 @@
     return !m_shuttingDown && m_router.config() && !m_targets.all().empty();
 }
 
+registry_delta node::completeRegistry(time_point now) const
+{
+    registry_delta registry = m_registryReplica.completeVersion();
+    registry.ageMillis = m_registryAge.ageAt(now).count();
+    return registry;
+}
+
 void node::serveReadiness(http_exchange &exchange)
 {
     const bool isReadyPath = exchange.request().target() == m_platform.readyPath;
@@ -1018,7 +1073,7 @@
     if (exchange.request().target() == configPath) {
         answer.body() = m_configText;
     } else if (exchange.request().target() == registryPath) {
-        answer.body() = encodeMessage(m_registryReplica.completeVersion());
+        answer.body() = encodeMessage(completeRegistry(mono_clock::now()));
     }
     if (answer.body().empty()) {
         answer = plainAnswer(404);
--- a/src/Node/node.h
+++ b/src/Node/node.h
@@ -6,6 +6,7 @@
 #include "../Admission/rate_limiter.h"
 #include "../Fleet/membership.h"
 #include "../Fleet/registration_schedule.h"
+#include "../Fleet/registry_age.h"
 #include "../Fleet/registry_filter.h"
 #include "../Fleet/target_pool.h"
 #include "../Fleet/vm_environment.h"
@@ -75,7 +76,10 @@
     bool hasRecentReads(time_point now) const;
     const member *followedReader(time_point now) const;
     bool shouldReadStore(time_point now);
-    void syncWithReader(const heartbeat &beat, time_point now);
+    void syncWithReader(const heartbeat &beat, time_point heardAt, time_point now);
+    void recordRegistryRead(time_point at);
+    void scheduleStoreTick();
+    registry_delta completeRegistry(time_point now) const;
     void applyRegistryDelta(const registry_delta &delta);
     void fetchRegistry(const std::string &ip);
     void storeTick();
@@ -159,9 +163,10 @@
     bool m_fetchingConfig = false;
     bool m_fetchingRegistry = false;
     registry_replica m_registryReplica;
+    registry_age m_registryAge;
     bool m_readingTargets = false;
     time_point m_targetsRequestedAt{};
-    time_point m_targetsUpdatedAt{}; ///< this VM's own last successful read of the registry
+    time_point m_targetsReadAt{}; ///< start of this VM's own last successful read of the registry
     int m_heartbeatCount = 0;
     std::uint64_t m_loggedMalformed = 0; ///< messages of peers, as far as logged
     std::uint64_t m_loggedUnsent = 0; ///< messages to peers above the limits, as far as logged
--- a/src/Node/peer_message.cpp
+++ b/src/Node/peer_message.cpp
@@ -31,7 +31,7 @@
     fields(m.name, m.dataCenter, m.ip, m.incarnation, m.configVersion, m.mapVersion,
            m.newestMapVersion, m.coordinatorVersion, m.storeEra, m.isShuttingDown, m.rating,
            m.wantsIntroduction, m.wantsRequests, m.inFlight, m.readsStore, m.registryVersion,
-           m.operatorPosition, m.drainedDataCenters);
+           m.operatorPosition, m.drainedDataCenters, m.registryAgeMillis);
 }
 
 template <typename Archive>
@@ -93,7 +93,7 @@
 template <typename Archive>
 void describe(Archive &fields, registry_delta &m)
 {
-    fields(m.reader, m.base, m.version, m.changed, m.removed);
+    fields(m.reader, m.base, m.version, m.changed, m.removed, m.ageMillis);
 }
 
 template <typename Archive>
--- a/src/Proxy/request_flow.cpp
+++ b/src/Proxy/request_flow.cpp
@@ -30,9 +30,6 @@
 constexpr milliseconds shedRetryDelay{5};
 /// How long a request waits for its key to get a usable owner.
 constexpr milliseconds maxOwnerWait{700};
-/// A draining owner still gets requests for its keys until they have a new owner, but for at most
-/// this long: half of the platform's usual limit.
-constexpr milliseconds drainGrace{1000};
 /// Passed to refuse() when nothing is known of what refused the request.
 constexpr milliseconds unknownDrain{0};
 
@@ -324,7 +321,7 @@
         return true;
     }
     return now >= target.refusingUntil && now >= target.pausedUntil
-        && target.drainingSince != time_point{} && now < target.drainingSince + drainGrace;
+        && target.drainingSince != time_point{} && now < target.ownedWorkUntil;
 }
 
 /// \returns whether a target can answer in time if the request is sent at \a when.
