A late answer to a silent send has to be the target's own

The answer to the first of two sends was forwarded with the target's proof alone, while all other answers are also checked for a content coding, which shows that something on the way has changed the body.

--- a/src/Proxy/request_flow.cpp
+++ b/src/Proxy/request_flow.cpp
@@ -550,6 +550,13 @@
     return true;
 }
 
+/// \returns whether a target has produced \a answer, unchanged.
+bool request_flow::isGenuine(const http_answer &answer) const
+{
+    return answer.count(beastView(m_router.m_names.targetProof)) != 0
+        && answer.count(http::field::content_encoding) == 0;
+}
+
 void request_flow::handleCallResult(std::uint64_t number, call_result &&result)
 {
     if (number == m_sendNumber && m_isSending) {
@@ -579,12 +586,11 @@
         m_router.m_admission.evidence().recordAnswer(targetName, sentAt, now);
         applyLoadHeaders(*target, result.answer, now);
     }
-    const bool isGenuine =
-        isAnswered && result.answer.count(beastView(m_router.m_names.targetProof)) != 0;
+    const bool isFromTarget = isAnswered && isGenuine(result.answer);
     const bool isRefused = isAnswered
         && (result.answer.count(beastView(m_router.m_names.notRun)) != 0
             || result.answer.result() == http::status::misdirected_request);
-    if (isGenuine && !isRefused && result.answer.result_int() < firstServerError) {
+    if (isFromTarget && !isRefused && result.answer.result_int() < firstServerError) {
         m_call.cancel();
         releaseInFlight();
         m_target = targetName;
@@ -593,7 +599,7 @@
         forwardAnswer(std::move(result.answer), "answered");
         return;
     }
-    if (isGenuine && !isRefused && !m_fallback) {
+    if (isFromTarget && !isRefused && !m_fallback) {
         m_fallback = std::move(result.answer);
     }
     if (m_endReason && m_silentSends.empty()) {
@@ -632,8 +638,7 @@
     if (good) {
         recordServiceTime(target, now);
     }
-    const bool genuine = result.answer.count(beastView(m_router.m_names.targetProof)) != 0
-        && result.answer.count(http::field::content_encoding) == 0;
+    const bool genuine = isGenuine(result.answer);
     recordVersionAnswer(status >= firstServerError || (good && !genuine)
                             ? std::nullopt
                             : std::optional<duration>(now - m_sentAt));
--- a/src/Proxy/request_flow.h
+++ b/src/Proxy/request_flow.h
@@ -72,6 +72,7 @@
     void scheduleSilenceCheck(time_point at);
     void checkSilence();
     bool awaitSilentSends(const char *reason);
+    bool isGenuine(const http_answer &answer) const;
     void handleCallResult(std::uint64_t number, call_result &&result);
     void handleSilentResult(std::uint64_t number, call_result &&result);
     void handleResult(call_result &&result);
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -296,6 +296,7 @@
     CPPUNIT_TEST(droppedRequestIsRepeatedOnlyIfAllowed);
     CPPUNIT_TEST(longRequestIsNotBrokenOff);
     CPPUNIT_TEST(longRequestIsAnsweredAfterItsOwnerIsLost);
+    CPPUNIT_TEST(lateAnswerIsTheTargets);
     CPPUNIT_TEST(requestGoesWhereCapacityIsGranted);
     CPPUNIT_TEST(rejectedRequestReturnsItsCapacity);
     CPPUNIT_TEST(requestWithoutCapacityIsRefused);
@@ -634,6 +635,35 @@
         CPPUNIT_ASSERT_EQUAL(200U, answered->answer.result_int());
     }
 
+    // Guards against an answer to the first of two sends that no target has produced, or that was
+    // changed on the way, and against a failure that ends the request while the other send is open.
+    void lateAnswerIsTheTargets()
+    {
+        for (const char *field : {"Content-Encoding", "Not-Run", ""}) {
+            router_fixture f;
+            long_requests requests(f);
+            std::optional<call_result> answered;
+            requests.begin(f, answered);
+            while (requests.exchanges.size() < 2) {
+                f.runFor(milliseconds(5));
+            }
+            const bool isFailure = *field == '\0';
+            http_answer answer = targetAnswer(*requests.exchanges[0], isFailure ? 500 : 200);
+            if (!isFailure) {
+                answer.set(field, "1");
+            }
+            requests.exchanges[0]->answer(std::move(answer));
+            f.runFor(milliseconds(100));
+            CPPUNIT_ASSERT(!answered);
+            answerOk(requests.exchanges[1]);
+            while (!answered) {
+                f.runFor(milliseconds(5));
+            }
+            CPPUNIT_ASSERT_EQUAL(200U, answered->answer.result_int());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), answered->answer.count("Content-Encoding"));
+        }
+    }
+
     void malformedPausesAreIgnored()
     {
         for (const char *text : {"", "-1", "soon", "1s", "1.2.3", ".", "inf", "nan", "1e3", "0x10",
