--- a/src/Node/node.cpp
+++ b/src/Node/node.cpp
@@ -747,7 +747,7 @@
     if (now < m_storeRetryAt) {
         return false;
     }
-    // Records may be missing until then, and no target counts on having been seen.
+    // While records may be missing from the store, the slower order by rank is enough.
     const bool isRecovering = now < m_recoveringUntil;
     if (!isRecovering
         && now >= m_registryAge.readsItselfAt(m_membership.rankWithin(storeReaderRole, now))) {
@@ -822,8 +822,8 @@
     }
     m_rollouts.noteTargets(m_targets, now);
     if (m_registryReplica.hasVersion(delta.reader, delta.version)) {
-        recordRegistryRead(now
-                           - boundedAge(delta.ageMillis)); // The records refer to the one before.
+        // Only now, since the grace period of draining targets follows from the read before.
+        recordRegistryRead(now - boundedAge(delta.ageMillis));
     }
 }
 
