--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -157,39 +157,48 @@
         CPPUNIT_ASSERT(readAll(caller) > bodyBytes);
     }
 
+    /// A call with a large body to a target that has not begun to read it.
+    struct large_upload
+    {
+        large_upload()
+            : pool(loop.loop, loop.deadlines, loop.guard, "Id")
+        {
+            tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+            acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+            outgoing_call call;
+            call.connectionKey = "t";
+            call.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+            call.head = "POST /x HTTP/1.1\r\nHost: t\r\nContent-Length: "
+                + std::to_string(largeBodyBytes) + "\r\n\r\n";
+            call.body = std::make_shared<const std::string>(largeBodyBytes, 'x');
+            call.expectedAnswerId = "7";
+            call.deadline = mono_clock::now() + seconds(20);
+            loop.call([&] {
+                pool.send(std::move(call),
+                          [this](call_result &&r) { result.set_value(std::move(r)); });
+            });
+            acceptor.accept(target);
+        }
+
+        std::promise<call_result> result;
+        asio::io_context context;
+        tcp::socket target{context};
+        loop_thread loop;
+        outgoing_pool pool;
+    };
+
     // Guards against the reset of an upload whose target begins to read late.
     void slowTargetGetsTheWholeRequest()
     {
-        asio::io_context context;
-        tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
-        loop_thread loop;
-        outgoing_pool pool(loop.loop, loop.deadlines, loop.guard, "Id");
-        std::promise<call_result> result;
-        loop.call([&] { sendLargeCall(pool, acceptor.local_endpoint().port(), result); });
-        tcp::socket target(context);
-        acceptor.accept(target);
+        large_upload upload;
         std::this_thread::sleep_for(readingPause);
         std::string received;
         boost::system::error_code error;
-        asio::read(target, asio::dynamic_buffer(received), asio::transfer_at_least(largeBodyBytes),
-                   error);
+        asio::read(upload.target, asio::dynamic_buffer(received),
+                   asio::transfer_at_least(largeBodyBytes), error);
         CPPUNIT_ASSERT(!error);
-        asio::write(target, asio::buffer(okAnswer("7", "done")), error);
-        CPPUNIT_ASSERT(result.get_future().get().failure == call_failure::None);
-    }
-
-    static void sendLargeCall(outgoing_pool &pool, unsigned port, std::promise<call_result> &result)
-    {
-        outgoing_call call;
-        call.connectionKey = "t";
-        call.address = "127.0.0.1:" + std::to_string(port);
-        call.head = "POST /x HTTP/1.1\r\nHost: t\r\nContent-Length: "
-            + std::to_string(largeBodyBytes) + "\r\n\r\n";
-        call.body = std::make_shared<const std::string>(largeBodyBytes, 'x');
-        call.expectedAnswerId = "7";
-        call.deadline = mono_clock::now() + seconds(20);
-        pool.send(std::move(call), [&result](call_result &&r) { result.set_value(std::move(r)); });
+        asio::write(upload.target, asio::buffer(okAnswer("7", "done")), error);
+        CPPUNIT_ASSERT(upload.result.get_future().get().failure == call_failure::None);
     }
 
     // Guards against an answer that is held for minutes for a caller that is gone: keep-alive
@@ -218,19 +227,11 @@
     // Guards against a call that waits for its deadline although its target is gone.
     void lostTargetIsDetectedWhileTheRequestIsWritten()
     {
-        asio::io_context context;
-        tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
-        loop_thread loop;
-        outgoing_pool pool(loop.loop, loop.deadlines, loop.guard, "Id");
-        std::promise<call_result> result;
-        loop.call([&] { sendLargeCall(pool, acceptor.local_endpoint().port(), result); });
-        tcp::socket target(context);
-        acceptor.accept(target);
-        dropInput(target);
-        auto future = result.get_future();
-        CPPUNIT_ASSERT(future.wait_for(lossBound) == std::future_status::ready);
-        CPPUNIT_ASSERT(future.get().failure == call_failure::Lost);
+        large_upload upload;
+        dropInput(upload.target);
+        auto result = upload.result.get_future();
+        CPPUNIT_ASSERT(result.wait_for(lossBound) == std::future_status::ready);
+        CPPUNIT_ASSERT(result.get().failure == call_failure::Lost);
     }
 
     // Guards against a verdict from one lost packet, and from silence before any data was sent.
