Log and count what came of sends that were open when a request ended

Callers saw 504 while a target worked on their request, and neither logs nor metrics told it: the line said runs 0 and nothing of the open send, and no counter told whether a second send had been of any use.

The request line now has the open sends, the time to the deadline, and the target's last load report; try lines have the last two. second_sends_won, _lost and _unanswered count what ended a request that was sent a second time. The counter of "answered late" had a blank in its name, which Prometheus cannot read.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -107,6 +107,11 @@
         return m_sentAt != time_point{};
     }
 
+    bool maySent(std::uint64_t callId) const
+    {
+        return !m_callback || m_callId != callId || m_sentAt != time_point{};
+    }
+
     bool isUsable(bool freshOnly, time_point now)
     {
         return !m_isClosed && now < m_idleUntil
@@ -563,6 +568,12 @@
     return !connection || connection->cancel(m_call);
 }
 
+bool call_handle::maySent() const
+{
+    const auto connection = m_connection.lock();
+    return !connection || connection->maySent(m_call);
+}
+
 outgoing_pool::outgoing_pool(boost::asio::io_context &loop, deadline_queue &deadlines,
                              const handler_guard &guard, std::string idField,
                              std::size_t maxHeldBytes, std::shared_ptr<memory_account> account,
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -84,6 +84,8 @@
     /// Cancels the call by closing its connection. Its callback is not called.
     /// \returns whether any byte of the call may have been sent.
     bool cancel();
+    /// \returns whether any byte of the call may have been sent.
+    bool maySent() const;
 
 private:
     std::weak_ptr<internal::outgoing_connection> m_connection;
--- a/src/Proxy/request_flow.cpp
+++ b/src/Proxy/request_flow.cpp
@@ -531,6 +531,7 @@
     m_call = {};
     releaseInFlight();
     m_mayHaveRun = true;
+    m_hasSecondSend = true;
     ++m_executions;
     retry(now);
 }
@@ -595,6 +596,7 @@
         releaseInFlight();
         m_target = targetName;
         m_sentAt = sentAt;
+        m_secondSendOutcome = "lost";
         logTry("answered late", now);
         forwardAnswer(std::move(result.answer), "answered");
         return;
@@ -669,6 +671,7 @@
             return;
         }
     }
+    m_secondSendOutcome = "won";
     forwardAnswer(std::move(result.answer), "answered");
 }
 
@@ -848,8 +851,6 @@
 
 void request_flow::callerDisconnected()
 {
-    m_call.cancel();
-    releaseInFlight();
     if (!m_isDone) {
         logOutcome(0, "caller left");
         markDone();
@@ -872,14 +873,11 @@
     if (m_isDone) {
         return;
     }
-    const bool wasSending = m_isSending;
-    const bool maySent = m_call.cancel();
-    releaseInFlight();
-    if (wasSending && maySent) {
+    // A call that still waits for its connection has reached no target.
+    if (m_isSending && m_call.maySent()) {
         recordVersionAnswer(std::nullopt);
+        m_mayHaveRun = true;
     }
-    // A call that still waited for its connection has reached no target.
-    m_mayHaveRun = m_mayHaveRun || (wasSending && maySent);
     if (m_fallback) {
         forwardAnswer(std::move(*m_fallback), reason);
     } else if (m_mayHaveRun) {
@@ -949,6 +947,11 @@
 void request_flow::markDone()
 {
     m_isDone = true;
+    if (m_hasSecondSend) {
+        m_router.m_metrics.count("second_sends_" + std::string(m_secondSendOutcome));
+    }
+    m_call.cancel();
+    releaseInFlight();
     for (silent_send &send : m_silentSends) {
         send.call.cancel();
     }
@@ -985,12 +988,27 @@
 
 void request_flow::logTry(const char *what, time_point now)
 {
-    m_router.m_metrics.count(std::string("tries_") + what);
-    m_router.m_log.write(log_line("try")
-                             .add("id", field(m_router.m_names.requestId))
-                             .add("target", m_target)
-                             .add("outcome", what)
-                             .add("ms", toMillis(now - m_sentAt)));
+    m_router.m_metrics.count("tries_" + metricName(what));
+    log_line line("try");
+    line.add("id", field(m_router.m_names.requestId))
+        .add("target", m_target)
+        .add("outcome", what)
+        .add("ms", toMillis(now - m_sentAt))
+        .add("left", toMillis(m_deadline - now));
+    addLoadOf(m_target, line, now);
+    m_router.m_log.write(line);
+}
+
+/// Adds to \a line what \a target last reported of its load, if it has.
+void request_flow::addLoadOf(std::string_view target, log_line &line, time_point now) const
+{
+    const target_state *known = m_router.m_targets.find(target);
+    if (known && known->loadReportedAt != time_point{}) {
+        line.add("running", known->load.running)
+            .add("queued", known->load.waiting)
+            .add("slots", known->record.slots)
+            .add("loadAge", toMillis(now - known->loadReportedAt));
+    }
 }
 
 void request_flow::logOutcome(unsigned status, const char *reason, std::size_t bytes)
@@ -1012,12 +1030,19 @@
     if (!m_team.empty()) {
         line.add("team", m_team.str());
     }
+    if (m_deadline != time_point{}) {
+        line.add("left", toMillis(m_deadline - now));
+    }
     if (!m_target.empty()) {
         const target_state *target = m_router.m_targets.find(m_target);
         line.add("target", m_target)
             .add("runs", m_executions)
+            .add("open", openSendCount())
             .add("waited", toMillis(m_firstSentAt - m_exchange->arrivedAt()))
             .add("dataCenter", target ? target->record.dataCenter.str() : "gone");
+        if (openSendCount() > 0) {
+            addLoadOf(m_target, line, now);
+        }
     }
     if (m_key) {
         line.add("key", *m_key);
--- a/src/Proxy/request_flow.h
+++ b/src/Proxy/request_flow.h
@@ -98,6 +98,9 @@
     void markDone();
     void countOutcome(const http_answer &answer, const char *reason);
     static std::int64_t wallMinute();
+    /// \returns the number of sends that may still be answered.
+    std::size_t openSendCount() const { return m_silentSends.size() + (m_isSending ? 1 : 0); }
+    void addLoadOf(std::string_view target, log_line &line, time_point now) const;
     void logTry(const char *what, time_point now);
     void logOutcome(unsigned status, const char *reason, std::size_t bytes = 0);
 
@@ -155,6 +158,8 @@
     bool m_targetHadFreeSlot = false; ///< by this VM's estimate, when the request was sent
     bool m_mayHaveRun = false;
     bool m_isDone = false;
+    bool m_hasSecondSend = false; ///< one has begun beside a silent send
+    const char *m_secondSendOutcome = "unanswered"; ///< what it was good for, in metrics
 };
 
 } // namespace internal
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -7,9 +7,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
 #include <cstdlib>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -60,7 +64,7 @@
         , m_callers(m_loop, m_deadlines, m_guard, "Id")
         , m_tokens(
               "vm", [](std::string_view) { return std::nullopt; }, [] { return 1.0; })
-        , m_log("vm", -1)
+        , m_log("vm", ::fileno(m_logFile.get()))
         , m_frontAddress(freeAddress())
         , targets(data_center_id("near"))
         , router(
@@ -164,7 +168,28 @@
 
     std::size_t arrivalCount(const std::string &target) { return arrivals[target].size(); }
 
+    /// \returns the metrics as Prometheus reads them.
+    std::string metricsText() const { return m_metrics.prometheus(); }
+    /// \returns all log lines of the router.
+    std::string logText()
+    {
+        m_log.flush();
+        std::rewind(m_logFile.get());
+        std::string text;
+        std::array<char, 4096> part{};
+        for (std::size_t n = 1; n > 0;) {
+            n = std::fread(part.data(), 1, part.size(), m_logFile.get());
+            text.append(part.data(), n);
+        }
+        return text;
+    }
+
 private:
+    struct file_closer
+    {
+        void operator()(std::FILE *file) const { std::fclose(file); }
+    };
+
     asio::io_context m_loop;
     int m_failures = 0; ///< handlers that ended with an exception
     handler_guard m_guard;
@@ -172,6 +197,7 @@
     outgoing_pool m_pool;
     outgoing_pool m_callers;
     rate_limiter m_tokens;
+    std::unique_ptr<std::FILE, file_closer> m_logFile{std::tmpfile()};
     request_log m_log;
     metrics m_metrics;
     std::string m_frontAddress;
@@ -297,6 +323,8 @@
     CPPUNIT_TEST(longRequestIsNotBrokenOff);
     CPPUNIT_TEST(longRequestIsAnsweredAfterItsOwnerIsLost);
     CPPUNIT_TEST(lateAnswerIsTheTargets);
+    CPPUNIT_TEST(secondSendsAreCounted);
+    CPPUNIT_TEST(logTellsOfOpenSends);
     CPPUNIT_TEST(requestGoesWhereCapacityIsGranted);
     CPPUNIT_TEST(rejectedRequestReturnsItsCapacity);
     CPPUNIT_TEST(requestWithoutCapacityIsRefused);
@@ -664,6 +692,59 @@
         }
     }
 
+    // Guards against verdicts on silent targets that cannot be checked against what came of them,
+    // and against counters that Prometheus cannot read.
+    void secondSendsAreCounted()
+    {
+        for (const bool isFirstAnswered : {false, true}) {
+            router_fixture f;
+            long_requests requests(f);
+            std::optional<call_result> answered;
+            requests.begin(f, answered);
+            while (requests.exchanges.size() < 2) {
+                f.runFor(milliseconds(5));
+            }
+            answerOk(requests.exchanges[isFirstAnswered ? 0 : 1]);
+            while (!answered) {
+                f.runFor(milliseconds(5));
+            }
+            const std::string text = f.metricsText();
+            const auto isCounted = [&text](const std::string &outcome) {
+                return text.find("\ndamask_second_sends_" + outcome + "_total 1\n")
+                    != std::string::npos;
+            };
+            CPPUNIT_ASSERT_EQUAL(isFirstAnswered, isCounted("lost"));
+            CPPUNIT_ASSERT_EQUAL(!isFirstAnswered, isCounted("won"));
+            std::istringstream lines(text);
+            for (std::string line; std::getline(lines, line);) {
+                const std::string name = line.substr(0, line.find_first_of("{ "));
+                const std::string value = line.substr(line.rfind(' ') + 1);
+                const bool isComment = line[0] == '#';
+                CPPUNIT_ASSERT_MESSAGE(line,
+                                       isComment || line.find('{') != std::string::npos
+                                           || line == name + ' ' + value);
+            }
+        }
+    }
+
+    // Guards against a line that does not tell whether the target was still at work, and under
+    // which load.
+    void logTellsOfOpenSends()
+    {
+        router_fixture f;
+        std::shared_ptr<http_exchange> held;
+        f.addTarget("t", "plain",
+                    [&](std::shared_ptr<http_exchange> exchange) { held = std::move(exchange); });
+        target_pool::recordLoadReport(*f.targets.find("t"), {2, 1, 2, 1.0}, mono_clock::now());
+        CPPUNIT_ASSERT_EQUAL(504U, f.request("plain", "GET", "Remaining-Ms: 300\r\n").result_int());
+        const std::string text = f.logText();
+        const std::string line = text.substr(text.find(R"("event":"request")"));
+        for (const char *part : {R"("reason":"deadline")", R"("open":1)", R"("left":)",
+                                 R"("running":2,"queued":1,"slots":2)"}) {
+            CPPUNIT_ASSERT_MESSAGE(line, line.find(part) != std::string::npos);
+        }
+    }
+
     void malformedPausesAreIgnored()
     {
         for (const char *text : {"", "-1", "soon", "1s", "1.2.3", ".", "inf", "nan", "1e3", "0x10",
