No failure of one send ends a request while another send is open

Callers could get an error while a target worked on their request: a 4xx of one of two targets was forwarded and the other send broken off; a 429 told the caller that its request did not run. An exception in a step of the request broke off the send in flight and answered 502.

Cause: awaiting open sends was asked for in some of the ways a request ends, not in all of them.

All answers of the VM's own, but those at the deadline, now pass awaitOpenSends(), which counts the send in flight too. While a send is open only an answer below 400 ends the request; an error is kept for the case that no send succeeds, unless it promises that nothing runs. A step that throws leaves open sends alone.

--- a/src/Proxy/outgoing_pool.cpp
+++ b/src/Proxy/outgoing_pool.cpp
@@ -99,7 +99,7 @@
 
     bool cancel(std::uint64_t callId)
     {
-        if (!m_callback || m_callId != callId) {
+        if (!carries(callId)) {
             return true; // Another call has replaced it.
         }
         m_callback = nullptr;
@@ -107,9 +107,11 @@
         return m_sentAt != time_point{};
     }
 
+    /// \returns whether the call is in flight on this connection.
+    bool carries(std::uint64_t callId) const { return m_callback && m_callId == callId; }
     bool maySent(std::uint64_t callId) const
     {
-        return !m_callback || m_callId != callId || m_sentAt != time_point{};
+        return !carries(callId) || m_sentAt != time_point{};
     }
 
     bool isUsable(bool freshOnly, time_point now)
@@ -568,6 +570,12 @@
     return !connection || connection->cancel(m_call);
 }
 
+bool call_handle::isOpen() const
+{
+    const auto connection = m_connection.lock();
+    return connection && connection->carries(m_call);
+}
+
 bool call_handle::maySent() const
 {
     const auto connection = m_connection.lock();
--- a/src/Proxy/outgoing_pool.h
+++ b/src/Proxy/outgoing_pool.h
@@ -84,6 +84,8 @@
     /// Cancels the call by closing its connection. Its callback is not called.
     /// \returns whether any byte of the call may have been sent.
     bool cancel();
+    /// \returns whether the callback of the call is still to be called.
+    bool isOpen() const;
     /// \returns whether any byte of the call may have been sent.
     bool maySent() const;
 
--- a/src/Proxy/request_flow.cpp
+++ b/src/Proxy/request_flow.cpp
@@ -33,6 +33,7 @@
 /// Passed to refuse() when nothing is known of what refused the request.
 constexpr milliseconds unknownDrain{0};
 
+constexpr unsigned firstClientError = 400;
 constexpr unsigned firstServerError = 500;
 
 /// \returns whether \a status tells the caller that its request has not run and will not.
@@ -109,12 +110,16 @@
 
 void request_flow::tryAdvance()
 {
-    if (m_isDone || m_isSending || m_endReason) {
+    if (m_isDone || m_isSending) {
+        return;
+    }
+    if (m_endReason) {
+        fail(m_endReason);
         return;
     }
     const time_point now = mono_clock::now();
     if (!hasTimeAt(now)) {
-        if (!awaitSilentSends("no time left")) {
+        if (!awaitOpenSends("no time left")) {
             timeOut("no time left");
         }
         return;
@@ -215,7 +220,8 @@
     const range_owner *owner = map == m_router.m_owners.end() ? nullptr : map->second.find(*m_key);
     m_isAdmitted = !owner || m_router.ownerThrottle().admits(owner->target, m_priority, now);
     if (!m_isAdmitted) {
-        refuse(503, "owner is overloaded", m_router.ownerThrottle().drainTime(owner->target, now));
+        refuseUnlessRun(503, "owner is overloaded",
+                        m_router.ownerThrottle().drainTime(owner->target, now));
     }
     return m_isAdmitted;
 }
@@ -232,9 +238,9 @@
         return true;
     }
     if (m_isTokenDenied) {
-        refuse(429, "team over its limit", overLimitRetryAfter);
+        refuseUnlessRun(429, "team over its limit", overLimitRetryAfter);
     } else if (now >= m_exchange->arrivedAt() + maxTokenWait) {
-        refuse(503, "bank is silent", unknownDrain);
+        refuseUnlessRun(503, "bank is silent", unknownDrain);
     } else {
         waitForToken(m_limit, m_exchange->arrivedAt() + maxTokenWait, now);
     }
@@ -536,21 +542,39 @@
     retry(now);
 }
 
-/// Leaves the answer to the silent sends, if there are any. The request then ends with the answer
-/// of one of them, when all have failed, or at its deadline.
+/// Leaves the answer to the open sends, if there are any. The request then ends with the answer of
+/// one of them, when all have failed, or at its deadline.
 /// \param reason why nothing more is sent
 /// \returns whether there are any
-bool request_flow::awaitSilentSends(const char *reason)
+bool request_flow::awaitOpenSends(const char *reason)
 {
-    if (m_silentSends.empty()) {
+    if (openSendCount() == 0) {
         return false;
     }
     m_endReason = reason;
     m_router.m_deadlines.remove(m_wakeUpId);
-    releaseCapacity(capacity_outcome::Unused);
+    if (!m_isSending) {
+        releaseCapacity(capacity_outcome::Unused);
+    }
     return true;
 }
 
+/// \returns whether an answer with \a status ends the request. While another send is open, an error
+/// does not: the other target may be at work.
+bool request_flow::isFinal(unsigned status) const
+{
+    return status < firstClientError || openSendCount() == 0;
+}
+
+/// Keeps \a answer in case that no send succeeds, unless its status would tell the caller that no
+/// target runs the request while another send is open.
+void request_flow::keepAsFallback(http_answer &&answer)
+{
+    if (openSendCount() == 0 || !promisesNotRun(answer.result_int())) {
+        m_fallback = std::move(answer);
+    }
+}
+
 /// \returns whether a target has produced \a answer, unchanged.
 bool request_flow::isGenuine(const http_answer &answer) const
 {
@@ -591,7 +615,8 @@
     const bool isRefused = isAnswered
         && (result.answer.count(beastView(m_router.m_names.notRun)) != 0
             || result.answer.result() == http::status::misdirected_request);
-    if (isFromTarget && !isRefused && result.answer.result_int() < firstServerError) {
+    const unsigned status = isAnswered ? result.answer.result_int() : 0;
+    if (isFromTarget && !isRefused && status < firstServerError && isFinal(status)) {
         m_call.cancel();
         releaseInFlight();
         m_target = targetName;
@@ -602,9 +627,9 @@
         return;
     }
     if (isFromTarget && !isRefused && !m_fallback) {
-        m_fallback = std::move(result.answer);
+        keepAsFallback(std::move(result.answer));
     }
-    if (m_endReason && m_silentSends.empty()) {
+    if (m_endReason) {
         fail(m_endReason);
     }
 }
@@ -659,17 +684,16 @@
         fail("target did not state that the request has not run");
         return;
     }
-    if (status >= firstServerError && mayRepeat(m_route->kind)) {
-        const bool repeats = acquireRetry(now);
-        if (repeats || !m_silentSends.empty()) {
-            m_fallback = std::move(result.answer);
-            if (repeats) {
-                retry(now);
-            } else {
-                fail("answered");
-            }
-            return;
+    const bool repeats =
+        status >= firstServerError && mayRepeat(m_route->kind) && acquireRetry(now);
+    if (repeats || !isFinal(status)) {
+        keepAsFallback(std::move(result.answer));
+        if (repeats) {
+            retry(now);
+        } else {
+            fail("answered");
         }
+        return;
     }
     m_secondSendOutcome = "won";
     forwardAnswer(std::move(result.answer), "answered");
@@ -816,7 +840,7 @@
 
 bool request_flow::acquireRetry(time_point now)
 {
-    return mayRepeat(m_route->kind) && m_executions < m_route->maxAttempts
+    return !m_endReason && mayRepeat(m_route->kind) && m_executions < m_route->maxAttempts
         && hasTimeAt(now + retryPause(now)) && m_router.retryBudgetOf(m_service).trySpend();
 }
 
@@ -868,6 +892,7 @@
     }
 }
 
+/// Ends the request at its deadline, or if no target can answer before it.
 void request_flow::timeOut(const char *reason)
 {
     if (m_isDone) {
@@ -878,13 +903,7 @@
         recordVersionAnswer(std::nullopt);
         m_mayHaveRun = true;
     }
-    if (m_fallback) {
-        forwardAnswer(std::move(*m_fallback), reason);
-    } else if (m_mayHaveRun) {
-        finish(plainAnswer(504), reason);
-    } else {
-        refuse(503, reason, unknownDrain);
-    }
+    endWithoutAnswer(504, reason);
 }
 
 /// Ends the request without another retry, once all sends have ended: forwards a target's last
@@ -892,13 +911,19 @@
 /// otherwise.
 void request_flow::fail(const char *reason)
 {
-    if (awaitSilentSends(reason)) {
-        return;
+    if (!awaitOpenSends(reason)) {
+        endWithoutAnswer(502, reason);
     }
+}
+
+/// Ends the request although sends may be open.
+/// \param statusIfRun the answer if a target may have run the request, and none has failed it
+void request_flow::endWithoutAnswer(unsigned statusIfRun, const char *reason)
+{
     if (m_fallback) {
         forwardAnswer(std::move(*m_fallback), reason);
     } else if (m_mayHaveRun) {
-        finish(plainAnswer(502), reason);
+        finish(plainAnswer(statusIfRun), reason);
     } else {
         refuse(503, reason, unknownDrain);
     }
@@ -906,14 +931,14 @@
 
 void request_flow::refuseUnlessRun(unsigned status, const char *reason, milliseconds drain)
 {
-    if (m_fallback || m_mayHaveRun) {
+    if (m_fallback || m_mayHaveRun || openSendCount() > 0) {
         fail(reason);
     } else {
         refuse(status, reason, drain);
     }
 }
 
-/// Refuses a request that no target has run.
+/// Refuses a request that no target has run, and that is not being sent to one.
 /// \param drain after this time, what refused it has free capacity
 void request_flow::refuse(unsigned status, const char *reason, milliseconds drain)
 {
--- a/src/Proxy/request_flow.h
+++ b/src/Proxy/request_flow.h
@@ -29,7 +29,8 @@
     bool isDone() const { return m_isDone; }
 
 private:
-    /// Runs one step of the request. After an exception it is ended like one that failed.
+    /// Runs one step of the request. After an exception it ends like one that failed, once no send
+    /// is open.
     /// \param mayHaveRun whether a target may have run the request when the step begins
     template <typename Step>
     void runStep(Step &&step, bool mayHaveRun = false)
@@ -37,10 +38,11 @@
         if (m_router.m_guard.run("request", std::forward<Step>(step)) || m_isDone) {
             return;
         }
-        const bool wasSending = m_isSending;
-        const bool maySent = m_call.cancel();
-        m_mayHaveRun = m_mayHaveRun || mayHaveRun || (wasSending && maySent);
-        releaseInFlight();
+        m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+        if (m_isSending && !m_call.isOpen()) { // The step failed while it sent the request.
+            m_mayHaveRun = true;
+            releaseInFlight();
+        }
         fail("internal error");
     }
 
@@ -71,7 +73,9 @@
     void send(target_state &target, time_point now);
     void scheduleSilenceCheck(time_point at);
     void checkSilence();
-    bool awaitSilentSends(const char *reason);
+    bool awaitOpenSends(const char *reason);
+    bool isFinal(unsigned status) const;
+    void keepAsFallback(http_answer &&answer);
     bool isGenuine(const http_answer &answer) const;
     void handleCallResult(std::uint64_t number, call_result &&result);
     void handleSilentResult(std::uint64_t number, call_result &&result);
@@ -91,6 +95,7 @@
     void releaseInFlight();
     void timeOut(const char *reason);
     void fail(const char *reason);
+    void endWithoutAnswer(unsigned statusIfRun, const char *reason);
     void refuseUnlessRun(unsigned status, const char *reason, milliseconds drain);
     void refuse(unsigned status, const char *reason, milliseconds drain);
     void forwardAnswer(http_answer &&answer, const char *reason);
@@ -146,7 +151,7 @@
         call_handle call;
     };
     std::vector<silent_send> m_silentSends;
-    /// Why nothing more is sent while silent sends may still be answered; null if something is.
+    /// Why nothing more is sent while open sends may still be answered; null if something is.
     const char *m_endReason = nullptr;
     std::optional<http_answer> m_fallback; ///< a target's error answer, used if no retry succeeds
     int m_executions = 0; ///< sends that a target ran or may have run
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
     return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
+/// A load report at which decoding fails with an exception.
+constexpr const char *undecodableLoad = "undecodable";
+
 header_names testNames()
 {
     header_names names;
@@ -45,7 +49,12 @@
     names.shardKey = "Key";
     names.draining = "Draining";
     names.retryAfter = "Retry-After";
-    names.decodeLoad = [](std::string_view) { return std::optional<load_report>(); };
+    names.decodeLoad = [](std::string_view text) {
+        if (text == undecodableLoad) {
+            throw std::invalid_argument("load");
+        }
+        return std::optional<load_report>();
+    };
     return names;
 }
 
@@ -323,6 +332,8 @@
     CPPUNIT_TEST(longRequestIsNotBrokenOff);
     CPPUNIT_TEST(longRequestIsAnsweredAfterItsOwnerIsLost);
     CPPUNIT_TEST(lateAnswerIsTheTargets);
+    CPPUNIT_TEST(failureOfOneSendLeavesTheOther);
+    CPPUNIT_TEST(failedStepLeavesOpenSends);
     CPPUNIT_TEST(secondSendsAreCounted);
     CPPUNIT_TEST(logTellsOfOpenSends);
     CPPUNIT_TEST(requestGoesWhereCapacityIsGranted);
@@ -692,6 +703,59 @@
         }
     }
 
+    // Guards against an error of one target that ends a request at which another one is at work,
+    // and against a status that tells the caller meanwhile that its request does not run.
+    void failureOfOneSendLeavesTheOther()
+    {
+        for (const unsigned status : {404U, 409U, 429U, 503U}) {
+            for (const std::size_t failing : {0U, 1U}) {
+                router_fixture f;
+                long_requests requests(f);
+                std::optional<call_result> answered;
+                requests.begin(f, answered);
+                while (requests.exchanges.size() < 2) {
+                    f.runFor(milliseconds(5));
+                }
+                http_exchange &failed = *requests.exchanges[failing];
+                failed.answer(targetAnswer(failed, status));
+                f.runFor(milliseconds(100));
+                CPPUNIT_ASSERT(!answered);
+                CPPUNIT_ASSERT_EQUAL(0, requests.brokenOff);
+                answerOk(requests.exchanges[1 - failing]);
+                while (!answered) {
+                    f.runFor(milliseconds(5));
+                }
+                CPPUNIT_ASSERT_EQUAL(200U, answered->answer.result_int());
+            }
+        }
+    }
+
+    // Guards against an exception in the handling of one answer that breaks off another send of the
+    // request.
+    void failedStepLeavesOpenSends()
+    {
+        for (const std::size_t failing : {0U, 1U}) {
+            router_fixture f;
+            long_requests requests(f);
+            std::optional<call_result> answered;
+            requests.begin(f, answered);
+            while (requests.exchanges.size() < 2) {
+                f.runFor(milliseconds(5));
+            }
+            http_answer answer = targetAnswer(*requests.exchanges[failing], 200);
+            answer.set("Load", undecodableLoad);
+            requests.exchanges[failing]->answer(std::move(answer));
+            f.runFor(milliseconds(100));
+            CPPUNIT_ASSERT(!answered);
+            CPPUNIT_ASSERT_EQUAL(0, requests.brokenOff);
+            answerOk(requests.exchanges[1 - failing]);
+            while (!answered) {
+                f.runFor(milliseconds(5));
+            }
+            CPPUNIT_ASSERT_EQUAL(200U, answered->answer.result_int());
+        }
+    }
+
     // Guards against verdicts on silent targets that cannot be checked against what came of them,
     // and against counters that Prometheus cannot read.
     void secondSendsAreCounted()
