Do not run a request twice at the only owner of its key on a wrong verdict

Callers of a key's owner waited for slots that second runs of long requests had taken; the run goes on at the target after the first answer has won.

Cause: two later answers on other connections were taken as a sign that the target had dropped the request. A target with several slots that works on a long request looks the same.

A key's owner gets the request again only if it has certainly dropped it: it has since reported that it runs and queues nothing, or, if it reports no load, it has answered more later requests than it has slots. Until then the silence is checked again. Requests that another target can run are sent there as before.

--- a/src/Admission/admission_control.cpp
+++ b/src/Admission/admission_control.cpp
@@ -171,6 +171,20 @@
     return cause;
 }
 
+bool admission_control::hasDropped(const std::string &target, time_point sentAt) const
+{
+    const target_state *known = m_targets.find(target);
+    if (!known) {
+        return false;
+    }
+    if (known->loadReportedAt != time_point{}) {
+        return m_evidence.wasIdleAfter(target, sentAt);
+    }
+    const auto slots = static_cast<std::size_t>(std::max(1, known->record.slots));
+    return m_evidence.answeredAfter(target, sentAt)
+        >= std::min(slots + 1, connection_evidence::maxCountedAnswers);
+}
+
 milliseconds admission_control::retryAfter(const service_id &service, milliseconds drain,
                                            int priority, std::optional<time_point> callerDeadline,
                                            time_point now) const
--- a/src/Admission/admission_control.h
+++ b/src/Admission/admission_control.h
@@ -107,6 +107,10 @@
     /// Judges why \a target has not answered a request that was sent at \a sentAt. If it has also
     /// reported a full queue, it gets no requests while it drains.
     silence_cause judgeSilence(const std::string &target, time_point sentAt, time_point now);
+    /// \returns whether \a target has dropped a request that was sent at \a sentAt, so that it does
+    /// not work on it. If it reports its load, that shows it; otherwise it has answered more later
+    /// requests than it runs at once.
+    bool hasDropped(const std::string &target, time_point sentAt) const;
 
 private:
     static bool isFull(const target_state &target, time_point now);
--- a/src/Admission/silence.h
+++ b/src/Admission/silence.h
@@ -6,6 +6,8 @@
 #include "../Core/time.h"
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <iterator>
 #include <map>
@@ -18,7 +20,7 @@
 /// Why a target has not answered a request for much longer than usual.
 enum class silence_cause {
     Slow, ///< it answers no connection, but nothing shows that it has terminated
-    Full, ///< it has answered later requests: it has probably dropped this one
+    Full, ///< it has answered later requests: it has dropped this one, or takes long for it
     Dead, ///< it refuses connections
     CutOff ///< connections to it time out
 };
@@ -44,7 +46,9 @@
 /// I/O; not thread-safe.
 ///
 /// Load pattern: the queues of targets are full, and a full target never answers a request that it
-/// cannot queue, nor anything after it on that connection. It keeps answering on the others.
+/// cannot queue, nor anything after it on that connection. It keeps answering on the others. So
+/// does a target with several slots that works on one long request. Only a target that has nothing
+/// to do has certainly dropped the request.
 ///
 /// \code
 /// evidence.recordAnswer("t1", sentAt, now);
@@ -58,11 +62,15 @@
     void recordAnswer(const std::string &target, time_point sentAt, time_point now)
     {
         entry &e = entryOf(target, now);
-        if (sentAt > e.newestAnswered) {
-            e.secondAnswered = std::exchange(e.newestAnswered, sentAt);
-        } else {
-            e.secondAnswered = std::max(e.secondAnswered, sentAt);
-        }
+        const auto oldest = std::min_element(e.answered.begin(), e.answered.end());
+        *oldest = std::max(*oldest, sentAt);
+    }
+    /// Records that \a target had no request to run or to queue when it answered a request that was
+    /// sent at \a sentAt.
+    void recordIdle(const std::string &target, time_point sentAt, time_point now)
+    {
+        entry &e = entryOf(target, now);
+        e.idleAfter = std::max(e.idleAfter, sentAt);
     }
     /// Records that no connection to \a target could be established.
     /// \param isRefused whether it was refused, or else timed out
@@ -81,7 +89,8 @@
         }
         const entry &e = it->second;
         // One answer alone may have overtaken a request with a long service time.
-        if (e.secondAnswered > sentAt) {
+        constexpr std::size_t minLaterAnswers = 2;
+        if (answeredAfter(e, sentAt) >= minLaterAnswers) {
             return silence_cause::Full;
         }
         if (e.refusedAt > sentAt) {
@@ -90,6 +99,23 @@
         return e.timedOutAt > sentAt ? silence_cause::CutOff : silence_cause::Slow;
     }
 
+    /// \returns whether \a target was idle after it must have got a request sent at \a sentAt.
+    bool wasIdleAfter(std::string_view target, time_point sentAt) const
+    {
+        const auto it = m_targets.find(target);
+        return it != m_targets.end() && it->second.idleAfter > sentAt;
+    }
+
+    /// \returns how many requests sent after \a sentAt \a target has answered, at most
+    /// maxCountedAnswers.
+    std::size_t answeredAfter(std::string_view target, time_point sentAt) const
+    {
+        const auto it = m_targets.find(target);
+        return it == m_targets.end() ? 0 : answeredAfter(it->second, sentAt);
+    }
+
+    static constexpr std::size_t maxCountedAnswers = 8;
+
 private:
     /// Evidence is discarded this long after its last change; longer than any request takes.
     static constexpr seconds lifetime{60};
@@ -97,12 +123,19 @@
     struct entry
     {
         time_point changedAt{};
-        time_point newestAnswered{}; ///< when the newest answered request was sent
-        time_point secondAnswered{}; ///< the same for the second newest
+        std::array<time_point, maxCountedAnswers> answered{}; ///< when the newest ones were sent
+        time_point idleAfter{}; ///< when the newest one was sent whose answer reported no load
         time_point refusedAt{};
         time_point timedOutAt{};
     };
 
+    static std::size_t answeredAfter(const entry &e, time_point sentAt)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(e.answered.begin(), e.answered.end(),
+                          [sentAt](time_point answered) { return answered > sentAt; }));
+    }
+
     entry &entryOf(const std::string &target, time_point now)
     {
         if (now >= m_cleanUpAt) {
--- a/src/Proxy/request_flow.cpp
+++ b/src/Proxy/request_flow.cpp
@@ -514,9 +514,10 @@
     });
 }
 
-/// Sends the request a second time if its target seems to have dropped it and it may run twice. The
-/// first send goes on: later answers on other connections also overtake a long request on a target
-/// with several slots, and a request that a target works on must not be broken off.
+/// Sends the request a second time if its target seems to have dropped it and it may run twice: to
+/// another target, or to the only owner of its key if that has certainly dropped it. The first send
+/// goes on: later answers on other connections also overtake a long request on a target with
+/// several slots, and a request that a target works on must not be broken off.
 void request_flow::checkSilence()
 {
     if (m_isDone || !m_isSending) {
@@ -525,7 +526,9 @@
     const time_point now = mono_clock::now();
     const silence_cause cause = m_router.m_admission.judgeSilence(m_target, m_sentAt, now);
     m_router.m_metrics.count(std::string("tries_") + nameOf(cause));
-    if (cause != silence_cause::Full) {
+    // A second run at the owner of a key would take one of the slots that others wait for.
+    if (cause != silence_cause::Full
+        || (m_key && !m_router.m_admission.hasDropped(m_target, m_sentAt))) {
         scheduleSilenceCheck(now + (now - m_sentAt) / 2); // Later answers may show the cause.
         return;
     }
@@ -607,9 +610,7 @@
     const bool isAnswered = result.failure == call_failure::None;
     target_state *target = m_router.m_targets.find(targetName);
     if (isAnswered && target) {
-        m_router.m_targets.recordAnswer(*target);
-        m_router.m_admission.evidence().recordAnswer(targetName, sentAt, now);
-        applyLoadHeaders(*target, result.answer, now);
+        recordAnswer(*target, sentAt, result.answer, now);
     }
     const bool isFromTarget = isAnswered && isGenuine(result.answer);
     const bool isRefused = isAnswered
@@ -647,9 +648,7 @@
         return;
     }
     if (target) {
-        m_router.m_targets.recordAnswer(*target);
-        m_router.m_admission.evidence().recordAnswer(m_target, m_sentAt, now);
-        applyLoadHeaders(*target, result.answer, now);
+        recordAnswer(*target, m_sentAt, result.answer, now);
         applyAvailabilityHeaders(*target, result.answer, now);
     }
     const unsigned status = result.answer.result_int();
@@ -722,6 +721,19 @@
     }
 }
 
+/// Records what an answer to a request that was sent at \a sentAt shows of its target.
+void request_flow::recordAnswer(target_state &target, time_point sentAt, const http_answer &answer,
+                                time_point now)
+{
+    m_router.m_targets.recordAnswer(target);
+    applyLoadHeaders(target, answer, now);
+    connection_evidence &evidence = m_router.m_admission.evidence();
+    evidence.recordAnswer(target.record.name, sentAt, now);
+    if (target.loadReportedAt == now && target.load.running + target.load.waiting == 0) {
+        evidence.recordIdle(target.record.name, sentAt, now);
+    }
+}
+
 void request_flow::applyLoadHeaders(target_state &target, const http_answer &answer, time_point now)
 {
     const header_names &names = m_router.m_names;
--- a/src/Proxy/request_flow.h
+++ b/src/Proxy/request_flow.h
@@ -82,6 +82,8 @@
     void handleResult(call_result &&result);
     void recordVersionAnswer(std::optional<duration> answeredIn);
     void recordServiceTime(const target_state *target, time_point now);
+    void recordAnswer(target_state &target, time_point sentAt, const http_answer &answer,
+                      time_point now);
     void applyLoadHeaders(target_state &target, const http_answer &answer, time_point now);
     void applyAvailabilityHeaders(target_state &target, const http_answer &answer, time_point now);
     void handleNotRun(unsigned status, target_state *target, time_point now);
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -53,7 +53,12 @@
         if (text == undecodableLoad) {
             throw std::invalid_argument("load");
         }
-        return std::optional<load_report>();
+        load_report load;
+        load.slots = 2;
+        const std::string numbers(text);
+        return std::sscanf(numbers.c_str(), "%d,%d", &load.running, &load.waiting) == 2
+            ? std::optional(load)
+            : std::nullopt;
     };
     return names;
 }
@@ -332,6 +337,7 @@
     CPPUNIT_TEST(longRequestIsNotBrokenOff);
     CPPUNIT_TEST(longRequestIsAnsweredAfterItsOwnerIsLost);
     CPPUNIT_TEST(lateAnswerIsTheTargets);
+    CPPUNIT_TEST(onlyOwnerThatDroppedARequestGetsItAgain);
     CPPUNIT_TEST(failureOfOneSendLeavesTheOther);
     CPPUNIT_TEST(failedStepLeavesOpenSends);
     CPPUNIT_TEST(secondSendsAreCounted);
@@ -602,12 +608,15 @@
     {
         std::vector<std::shared_ptr<http_exchange>> exchanges; ///< of requests with the field
         int brokenOff = 0;
+        std::string load; ///< running and waiting requests that the owner reports, or empty
 
         explicit long_requests(router_fixture &f)
         {
             f.addTarget("t", "keyed", [this](const std::shared_ptr<http_exchange> &exchange) {
                 if (exchange->request().count("Work") == 0) {
-                    answerOk(exchange);
+                    http_answer answer = targetAnswer(*exchange, 200);
+                    answer.set("Load", load);
+                    exchange->answer(std::move(answer));
                     return;
                 }
                 exchanges.push_back(exchange);
@@ -703,6 +712,28 @@
         }
     }
 
+    // Guards against second runs of long requests that take the slots of the only target for their
+    // keys. An owner that is idle without having answered has dropped the request.
+    void onlyOwnerThatDroppedARequestGetsItAgain()
+    {
+        for (const char *load : {"0,0", "1,0", "2,0", "2,5"}) {
+            const bool isIdle = load == std::string("0,0");
+            router_fixture f;
+            long_requests requests(f);
+            requests.load = load;
+            std::optional<call_result> answered;
+            requests.begin(f, answered);
+            f.runFor(milliseconds(1500)); // Several checks of the silence.
+            CPPUNIT_ASSERT(!answered);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(isIdle ? 2 : 1), requests.exchanges.size());
+            answerOk(requests.exchanges[0]);
+            while (!answered) {
+                f.runFor(milliseconds(5));
+            }
+            CPPUNIT_ASSERT_EQUAL(200U, answered->answer.result_int());
+        }
+    }
+
     // Guards against an error of one target that ends a request at which another one is at work,
     // and against a status that tells the caller meanwhile that its request does not run.
     void failureOfOneSendLeavesTheOther()
