damaskward: an entry waits for the answer of a gate that has moved

Callers' idempotent requests were broken off and run again when the VM with the gate of their target was stopped as planned; with little time left they got 504.

Cause: an entry cancelled an attempt 0.3 s after it was sent if its gate's term had changed. After a planned stop the old gate still completes what it has sent; only that of a lost VM does not.

The attempt is now cancelled only if the session of the gate's VM has lapsed, or the VM has begun a newer one.

--- a/src/Daemon/entry_handler.cpp
+++ b/src/Daemon/entry_handler.cpp
@@ -20,8 +20,8 @@
 /// A waiting request is sent again after this time even if its target, gate term and epoch are the
 /// same as for its latest attempt.
 constexpr milliseconds sameRouteRetryDelay{100};
-/// An attempt of an idempotent request is cancelled this long after it was sent if its gate no
-/// longer holds the gate role.
+/// An attempt of an idempotent request is cancelled this long after it was sent if the VM with its
+/// gate has been lost. A gate that has only moved completes what it has sent to its target.
 constexpr milliseconds lostGateCancelDelay{300};
 /// Gates enforce the deadline themselves. The entry cancels an attempt only this much later, so
 /// that the gate's answer can still arrive.
@@ -56,7 +56,8 @@
     call_ptr call;
     target_id target;
     data_center_id dataCenter;
-    std::uint64_t gateTerm = 0;
+    vm_id gate;
+    std::uint64_t gateSession = 0;
     time_point sentAt;
     pplx::cancellation_token_source cancel;
     std::atomic<bool> isCompleted{false};
@@ -295,7 +296,8 @@
     attemptState->call = call;
     attemptState->target = target.id;
     attemptState->dataCenter = target.rule.dataCenter;
-    attemptState->gateTerm = target.gateTerm;
+    attemptState->gate = target.gate;
+    attemptState->gateSession = target.gateSession;
     attemptState->sentAt = mono_clock::now();
     {
         const std::lock_guard lock(call->mutex);
@@ -446,10 +448,9 @@
     }
     const std::shared_ptr<const control_view> view = m_dependencies.views.get();
     for (const attempt_ptr &attemptState : running) {
-        const routed_target *target = view->routes->target(attemptState->target);
-        const bool gateLost = target == nullptr || target->gateTerm != attemptState->gateTerm;
+        const bool isGateLost = view->routes->isLost(attemptState->gate, attemptState->gateSession);
         const bool overdue = now >= attemptState->call->deadline + internal::deadlineGrace;
-        const bool isAbandoned = gateLost && attemptState->call->idempotent
+        const bool isAbandoned = isGateLost && attemptState->call->idempotent
             && now >= attemptState->sentAt + internal::lostGateCancelDelay;
         if (overdue || isAbandoned) {
             attemptState->cancel.cancel();
--- a/src/Routing/routing_view.cpp
+++ b/src/Routing/routing_view.cpp
@@ -32,6 +32,9 @@
         addShards(service, replica);
         m_services.push_back(std::move(service));
     }
+    for (const auto &[vm, session] : replica.sessions()) {
+        m_sessions[vm] = {session.row.term, session.row.state == session_state::Lapsed};
+    }
     for (const key_rule &key : rules.keys) {
         if (!key.withdrawn) {
             m_keys.push_back({internal::hashPrefix(key.hash), key.hash, key.team});
@@ -44,12 +47,13 @@
 void routing_view::addTarget(routed_service &service, const target_id &id, const target_rule &rule,
                              const rule_set &rules, const table_replica &replica)
 {
-    routed_target target{id, rule, {}, {}, 0, false};
+    routed_target target{id, rule, {}, {}, 0, 0, false};
     const seen_row<role_row> *gateRow = replica.role(roleName(rule.dataCenter, gateRole(id)));
     if (gateRow != nullptr && replica.isLive(gateRow->row.vm, gateRow->row.sessionTerm)) {
         target.gate = gateRow->row.vm;
         target.gateAddress = replica.session(gateRow->row.vm)->row.controlAddress;
         target.gateTerm = gateRow->row.term;
+        target.gateSession = gateRow->row.sessionTerm;
         target.usable = gateRow->row.status == target_status::Up && !rule.draining
             && !rules.isOut(rule.dataCenter);
     }
@@ -117,6 +121,13 @@
     return rule != m_teams.end() && rule->second.services.count(service.id) != 0;
 }
 
+bool routing_view::isLost(const vm_id &vm, std::uint64_t session) const
+{
+    const auto it = m_sessions.find(vm);
+    return it != m_sessions.end()
+        && (it->second.term > session || (it->second.term == session && it->second.hasLapsed));
+}
+
 const routed_target *routing_view::target(const target_id &target) const
 {
     const routed_service *found = service(target.service.str());
--- a/src/Routing/routing_view.h
+++ b/src/Routing/routing_view.h
@@ -21,6 +21,7 @@
     vm_id gate; ///< the VM that has the target's gate role; empty if none has
     std::string gateAddress; ///< the gate VM's control address
     std::uint64_t gateTerm = 0;
+    std::uint64_t gateSession = 0; ///< term of the session in which the gate VM holds the role
     bool usable = false; ///< it is up, and neither it nor its data centre is drained
 };
 
@@ -79,8 +80,17 @@
     bool mayCall(const team_id &team, const routed_service &service) const;
     /// \returns the target named \a target, or null.
     const routed_target *target(const target_id &target) const;
+    /// \returns whether the process of \a vm with the session term \a session has been lost. One
+    /// that is stopped as planned is not: it completes its requests.
+    bool isLost(const vm_id &vm, std::uint64_t session) const;
 
 private:
+    struct known_session
+    {
+        std::uint64_t term = 0;
+        bool hasLapsed = false;
+    };
+
     struct api_key
     {
         std::uint64_t prefix = 0; ///< the first bytes of the hash, for the search
@@ -96,6 +106,7 @@
     std::vector<routed_service> m_services; ///< sorted by name
     std::vector<api_key> m_keys; ///< sorted by prefix
     std::map<team_id, team_rule> m_teams;
+    std::map<vm_id, known_session> m_sessions; ///< the newest session of each VM
 };
 
 } // namespace damaskward
