damaskward: a stopping VM waits for the requests of gates that it has handed over

Callers lost the answers to requests at which targets were at work when the VM with the gate of the target was stopped as planned.

Cause: a stopping VM ends when no request has been in progress for 0.6 s, and counted only those of the gates that it still held. It has handed all of them over by then.

The requests of released gates are counted too.

--- a/src/Daemon/gate_handler.cpp
+++ b/src/Daemon/gate_handler.cpp
@@ -385,9 +385,17 @@
 {
     const std::shared_lock lock(m_gatesMutex);
     std::size_t count = 0;
+    const auto add = [&count](gate &gateState) {
+        const std::lock_guard gateLock(gateState.mutex);
+        count += gateState.requests.size();
+    };
     for (const auto &[target, gateState] : m_gates) {
-        const std::lock_guard gateLock(gateState->mutex);
-        count += gateState->requests.size();
+        add(*gateState);
+    }
+    for (const std::weak_ptr<gate> &released : m_releasedGates) {
+        if (const std::shared_ptr<gate> gateState = released.lock()) {
+            add(*gateState);
+        }
     }
     return count;
 }
--- a/src/Daemon/gate_handler.h
+++ b/src/Daemon/gate_handler.h
@@ -49,7 +49,8 @@
     /// Refuses requests whose deadline passed while they waited and cancels exchanges whose
     /// deadline has passed. Must be called periodically.
     void expire(time_point now);
-    /// \returns the number of requests that wait or run at the gates held now.
+    /// \returns the number of requests that wait or run at the gates held now, or still run at
+    /// released ones.
     std::size_t inProgressCount() const;
 
 private:
--- a/test/process_once_test.cpp
+++ b/test/process_once_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(resendReturnsRecordedAnswer);
     CPPUNIT_TEST(lostCommitAnswersRunAtMostOnce);
     CPPUNIT_TEST(requestOutlivesTheMoveOfItsGate);
+    CPPUNIT_TEST(longRequestOutlivesTheStopOfItsGate);
     CPPUNIT_TEST(gateKilledBeforeAnswer);
     CPPUNIT_TEST(gateKilledBetweenIntentAndDispatch);
     CPPUNIT_TEST(targetCrashedAfterRunning);
@@ -135,6 +136,15 @@
         stopGateDuringRun(longRequestFleet(24600, true, milliseconds(500)));
     }
 
+    // Guards against a VM that ends while targets work on requests that it has sent as a gate.
+    void longRequestOutlivesTheStopOfItsGate()
+    {
+        for (const bool isIdempotent : {true, false}) {
+            stopGateDuringRun(
+                longRequestFleet(isIdempotent ? 24800 : 25000, isIdempotent, seconds(1)));
+        }
+    }
+
     void gateKilledBeforeAnswer()
     {
         process_fleet fleet(promotionFleet(23400, R"({"service_us":600000})"));
