--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -804,9 +804,10 @@
                 f.runFor(milliseconds(5));
             }
             const std::string text = f.metricsText();
-            const auto isCounted = [&text](const std::string &outcome) {
-                return text.find("\ndamask_second_sends_" + outcome + "_total 1\n")
-                    != std::string::npos;
+            const auto isCounted = [&text](const char *outcome) {
+                std::string line = "\ndamask_second_sends_";
+                line.append(outcome).append("_total 1\n");
+                return text.find(line) != std::string::npos;
             };
             CPPUNIT_ASSERT_EQUAL(isFirstAnswered, isCounted("lost"));
             CPPUNIT_ASSERT_EQUAL(!isFirstAnswered, isCounted("won"));
