--- a/test/process_once_test.cpp
+++ b/test/process_once_test.cpp
@@ -213,7 +213,7 @@
 
     void deadlinePassesDuringRun()
     {
-        process_fleet fleet(promotionFleet(24400, R"({"service_us":10000000})"));
+        process_fleet fleet(promotionFleet(24400, R"({"service_us":5000000})"));
         CPPUNIT_ASSERT(fleet.start());
         const http_answer late = fleet.call(0, "POST", "/promotion/s",
                                             {{"Damask-Api-Key", apiKey},
